--- /dev/null
+++ b/crates/clementinepond/src/main.rs
@@ -0,0 +1,3 @@
+//! The command.
+
+fn main() {}
--- /dev/null
+++ b/crates/clementinepond_decide/src/claim/mod.rs
@@ -0,0 +1,1 @@
+//! Claims: at most one run of a keyed, non-idempotent request.
--- /dev/null
+++ b/crates/clementinepond_decide/src/configuration/mod.rs
@@ -0,0 +1,1 @@
+//! Configuration: the newest accepted version, relayed between VMs.
--- /dev/null
+++ b/crates/clementinepond_decide/src/crash/mod.rs
@@ -0,0 +1,1 @@
+//! Crash guard: requests that crash the endpoints that run them.
--- /dev/null
+++ b/crates/clementinepond_decide/src/limit/mod.rs
@@ -0,0 +1,1 @@
+//! Limits: rate and burst of a client account over all VMs.
--- /dev/null
+++ b/crates/clementinepond_decide/src/plan/mod.rs
@@ -0,0 +1,1 @@
+//! Placement: which models and adapters each endpoint holds.
--- /dev/null
+++ b/crates/clementinepond_decide/src/request/mod.rs
@@ -0,0 +1,1 @@
+//! Requests: the life cycle of one request, from caller to answer.
--- /dev/null
+++ b/crates/clementinepond_decide/src/route/mod.rs
@@ -0,0 +1,1 @@
+//! Routing: the endpoint that a request is sent to.
--- /dev/null
+++ b/crates/clementinepond_settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/clementinepond_types/src/quantity/mod.rs
@@ -0,0 +1,7 @@
+//! Counts, rates and sizes.
+
+mod counter;
+mod token;
+
+pub use counter::{Epoch, FencingNumber, MemorySize, ObjectVersion, PartCount, PriorityClass};
+pub use token::{QuantityError, TokenCount, TokenRate};
