--- /dev/null
+++ b/crates/clementinepond_standin/src/engine/batch_queue.rs
@@ -0,0 +1,114 @@
+//! Places in the batch, given out by priority.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::oneshot;
+
+/// Waiting position: larger priority first, then order of arrival.
+type QueuePosition = (Reverse<u8>, u64);
+
+#[derive(Debug, Default)]
+struct BatchState {
+    running: usize,
+    arrivals: u64,
+    waiting: BTreeMap<QueuePosition, oneshot::Sender<BatchSlot>>,
+}
+
+/// Places in the batch and the queue for them.
+#[derive(Debug)]
+pub(super) struct BatchQueue {
+    size: usize,
+    queue_length: usize,
+    state: Mutex<BatchState>,
+}
+
+/// Place in the batch; given on when dropped.
+#[derive(Debug)]
+pub(super) struct BatchSlot {
+    queue: Arc<BatchQueue>,
+}
+
+impl BatchQueue {
+    pub(super) fn new(size: usize, queue_length: usize) -> Arc<Self> {
+        Arc::new(Self {
+            size,
+            queue_length,
+            state: Mutex::default(),
+        })
+    }
+
+    /// Waits for a place; `None` when too many are waiting.
+    pub(super) async fn enter(self: &Arc<Self>, priority: u8) -> Option<BatchSlot> {
+        let (position, place) = {
+            let mut state = self.lock();
+            if state.running < self.size {
+                state.running += 1;
+                return Some(self.slot());
+            }
+            if state.waiting.len() >= self.queue_length {
+                return None;
+            }
+            state.arrivals += 1;
+            let position = (Reverse(priority), state.arrivals);
+            let (giver, place) = oneshot::channel();
+            state.waiting.insert(position, giver);
+            (position, place)
+        };
+        let _waiting = QueuedEntry {
+            queue: self,
+            position,
+        };
+        place.await.ok()
+    }
+
+    /// Returns the number of running and of waiting requests.
+    pub(super) fn load(&self) -> (usize, usize) {
+        let state = self.lock();
+        (state.running, state.waiting.len())
+    }
+
+    fn slot(self: &Arc<Self>) -> BatchSlot {
+        BatchSlot {
+            queue: Arc::clone(self),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BatchState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Gives a place to the first that waits, or frees it.
+    fn pass_on(self: &Arc<Self>) {
+        let next = {
+            let mut state = self.lock();
+            let next = state.waiting.pop_first();
+            if next.is_none() {
+                state.running -= 1;
+            }
+            next
+        };
+        if let Some((_, giver)) = next {
+            // A slot that nobody takes is dropped here, which passes it on.
+            drop(giver.send(self.slot()));
+        }
+    }
+}
+
+impl Drop for BatchSlot {
+    fn drop(&mut self) {
+        self.queue.pass_on();
+    }
+}
+
+/// Entry in the queue; removed when its request goes away.
+struct QueuedEntry<'a> {
+    queue: &'a BatchQueue,
+    position: QueuePosition,
+}
+
+impl Drop for QueuedEntry<'_> {
+    fn drop(&mut self) {
+        self.queue.lock().waiting.remove(&self.position);
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_standin/src/engine/handler.rs
@@ -0,0 +1,233 @@
+//! Calls to an engine.
+
+use super::engine_life::{EngineLife, OrderOutcome};
+use super::engine_order::EngineOrder;
+use super::engine_server::EngineShared;
+use super::generation::EventStream;
+use super::serve_request::{ServeForm, ServeRequest};
+use super::serving::{AnswerFaults, NotServed, prepare};
+use crate::network::{HttpCall, abort_connection, answer_json, query_number, read_call};
+use clementinepond_types::TimeSpan;
+use futures_util::stream;
+use log::info;
+use salvo::http::{HeaderValue, Method, StatusCode, header};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+use serde_json::json;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// Header by which an answer names its request.
+const REQUEST_ID: &str = "x-request-id";
+/// Header of a refusal before anything ran.
+const NOT_RUN: &str = "x-not-run";
+/// Longest wait for cache events.
+const EVENT_WAIT_LIMIT: TimeSpan = TimeSpan::from_secs(600);
+
+/// Handler of every path, for one life of the engine.
+#[derive(Debug)]
+pub(super) struct EngineHandler {
+    shared: Arc<EngineShared>,
+    life: Arc<EngineLife>,
+}
+
+#[async_trait]
+impl Handler for EngineHandler {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let serves = request.uri().path().starts_with("/v1/");
+        if serves && self.shared.strikes(|faults| &mut faults.resets_before_read) {
+            return abort_connection(request);
+        }
+        let Some(call) = read_call(request).await else {
+            return abort_connection(request);
+        };
+        self.shared.record().note_call(&call);
+        let kept = self.dispatch(request, &call, response).await;
+        info!(
+            "event=engine_call endpoint={} method={} path={} status={} answered={kept}",
+            self.life.options.endpoint,
+            call.method,
+            call.path,
+            response.status_code.map_or(0, |status| status.as_u16())
+        );
+        if !kept {
+            abort_connection(request);
+        }
+    }
+}
+
+impl EngineHandler {
+    pub(super) fn new(shared: Arc<EngineShared>, life: Arc<EngineLife>) -> Self {
+        Self { shared, life }
+    }
+
+    /// Answers a call; false when the connection breaks instead.
+    async fn dispatch(&self, request: &Request, call: &HttpCall, response: &mut Response) -> bool {
+        match (&call.method, call.parts().as_slice()) {
+            (&Method::POST, ["v1", "completions"]) => {
+                self.serve(ServeForm::Completion, call, response).await
+            }
+            (&Method::POST, ["v1", "chat", "completions"]) => {
+                self.serve(ServeForm::Chat, call, response).await
+            }
+            (&Method::DELETE, ["v1", "requests", id]) => {
+                self.life.cancel(id);
+                answer_json(response, StatusCode::OK, &json!({}));
+                true
+            }
+            (&Method::GET, ["report"]) => {
+                let report = self.life.report(self.shared.is_draining());
+                answer_json(response, StatusCode::OK, &report);
+                !self.shared.strikes(|faults| &mut faults.lost_reports)
+            }
+            (&Method::GET, ["cache-events"]) => {
+                self.cache_events(request, response).await;
+                true
+            }
+            (&Method::POST, ["orders"]) => self.order(call, response),
+            _ => {
+                let message = "there is no such path; see the endpoint protocol";
+                fault(response, StatusCode::NOT_FOUND, "not_found", message);
+                true
+            }
+        }
+    }
+
+    async fn serve(&self, form: ServeForm, call: &HttpCall, response: &mut Response) -> bool {
+        if self.shared.strikes(|faults| &mut faults.resets_after_read) {
+            return false;
+        }
+        let request = match ServeRequest::read(form, call) {
+            Ok(request) => request,
+            Err(message) => {
+                fault(
+                    response,
+                    StatusCode::BAD_REQUEST,
+                    "invalid_request",
+                    &message,
+                );
+                return true;
+            }
+        };
+        let faults = AnswerFaults::draw(&self.shared);
+        let prepared = prepare(&self.shared, &self.life, call, &request, faults).await;
+        let generation = match prepared {
+            Ok(generation) => generation,
+            Err(NotServed::Crashed) => return false,
+            Err(NotServed::NotRun(message)) => {
+                self.refuse(&request, message, response);
+                return true;
+            }
+        };
+        set_header(response, REQUEST_ID, &generation.shape.id);
+        if request.stream && !faults.reset_after_run {
+            stream_events(response, generation.events());
+            return true;
+        }
+        let Ok(body) = generation.whole().await else {
+            return false;
+        };
+        response.status_code(StatusCode::OK);
+        set_header(response, header::CONTENT_TYPE.as_str(), "application/json");
+        response.body(body);
+        !faults.reset_after_run
+    }
+
+    fn refuse(&self, request: &ServeRequest, message: &str, response: &mut Response) {
+        self.shared.record().refused += 1;
+        set_header(response, REQUEST_ID, &request.id);
+        set_header(response, NOT_RUN, "true");
+        fault(
+            response,
+            StatusCode::SERVICE_UNAVAILABLE,
+            "not_run",
+            message,
+        );
+    }
+
+    fn order(&self, call: &HttpCall, response: &mut Response) -> bool {
+        if self.shared.strikes(|faults| &mut faults.lost_orders) {
+            return false;
+        }
+        let order = match serde_json::from_slice::<EngineOrder>(&call.body) {
+            Ok(order) => order,
+            Err(error) => {
+                let message = format!("{error}; see the endpoint protocol");
+                fault(response, StatusCode::BAD_REQUEST, "invalid_order", &message);
+                return true;
+            }
+        };
+        match self.life.accept(order) {
+            OrderOutcome::Accepted => answer_json(response, StatusCode::ACCEPTED, &json!({})),
+            OrderOutcome::OldFencingNumber => {
+                self.shared.record().fencing_refusals += 1;
+                let message = "the fencing number is old; a newer plan holder gave orders";
+                fault(
+                    response,
+                    StatusCode::CONFLICT,
+                    "old_fencing_number",
+                    message,
+                );
+            }
+            OrderOutcome::NoMemory => {
+                self.shared.record().memory_refusals += 1;
+                let message = "the memory is too small; unload a model first";
+                fault(
+                    response,
+                    StatusCode::INSUFFICIENT_STORAGE,
+                    "no_memory",
+                    message,
+                );
+            }
+        }
+        !self.shared.strikes(|faults| &mut faults.lost_order_answers)
+    }
+
+    async fn cache_events(&self, request: &Request, response: &mut Response) {
+        let from = query_number(request, "from").unwrap_or_default();
+        let wait = TimeSpan::from_millis(query_number(request, "wait-ms").unwrap_or_default());
+        let deadline = Instant::now() + wait.min(EVENT_WAIT_LIMIT).duration();
+        loop {
+            let changed = self.life.cache_changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let (list, due) = {
+                let state = self.life.lock();
+                (state.cache_log.from(from), state.cache_log.next_due(from))
+            };
+            if !list.events.is_empty() || Instant::now() >= deadline {
+                return answer_json(response, StatusCode::OK, &list);
+            }
+            let wake = due.map_or(deadline, |due| due.min(deadline));
+            tokio::select! {
+                () = changed => {}
+                () = tokio::time::sleep_until(wake) => {}
+            }
+        }
+    }
+}
+
+fn stream_events(response: &mut Response, events: EventStream) {
+    response.status_code(StatusCode::OK);
+    set_header(response, header::CONTENT_TYPE.as_str(), "text/event-stream");
+    response.stream(stream::unfold(events, |mut events| async move {
+        let event = events.next().await?;
+        Some((event, events))
+    }));
+}
+
+fn set_header(response: &mut Response, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        response.headers_mut().insert(name, value);
+    }
+}
+
+fn fault(response: &mut Response, status: StatusCode, code: &str, message: &str) {
+    let error = json!({"code": code, "message": message, "type": code, "param": null});
+    answer_json(response, status, &json!({ "error": error }));
+}
--- /dev/null
+++ b/crates/clementinepond_standin/src/engine/mod.rs
@@ -0,0 +1,33 @@
+//! Stand-in for a model engine.
+//!
+//! An engine serves completions in a continuous batch with priorities, keeps
+//! models and adapters in limited memory, takes orders, and reports with a
+//! lag. Its tokens depend only on the model, the version and the prompt, so a
+//! test computes any answer with [`expected_tokens`] and a resumed answer
+//! goes on exactly where the broken one ended.
+
+mod answer_shape;
+mod batch_queue;
+mod cache_event;
+mod endpoint_report;
+mod engine_faults;
+mod engine_life;
+mod engine_memory;
+mod engine_options;
+mod engine_order;
+mod engine_server;
+mod generation;
+mod handler;
+mod prefix_cache;
+mod serve_request;
+mod serving;
+mod token_text;
+
+pub use cache_event::{CacheEvent, CacheEventList, CacheOperation};
+pub use endpoint_report::{EndpointReport, ReportedAdapter, ReportedModel};
+pub use engine_faults::EngineFaults;
+pub use engine_memory::ModelState;
+pub use engine_options::{EngineOptions, StartAdapter, StartModel};
+pub use engine_order::{EngineOrder, EngineRole, OrderAction};
+pub use engine_server::EngineServer;
+pub use token_text::{answer_length, expected_text, expected_tokens, prefix_hash, prompt_tokens};
--- /dev/null
+++ b/crates/clementinepond_standin/src/network/listen.rs
@@ -0,0 +1,107 @@
+//! The task that listens, and goes down and up again when told to.
+
+use super::acceptor::NoDelayAcceptor;
+use super::standin_error::StandinError;
+use clementinepond_types::TimeSpan;
+use log::{info, warn};
+use salvo::{Router, Server};
+use std::future::Future;
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+/// Pause between two attempts to listen again on the same address.
+const REBIND_PAUSE: TimeSpan = TimeSpan::from_millis(20);
+
+/// Order to drop all connections and stop listening for a while.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RestartOrder {
+    /// Time until it listens again; none to wait for the next order.
+    pub(crate) down_for: Option<TimeSpan>,
+}
+
+/// Listening task of one stand-in.
+#[derive(Debug)]
+pub(crate) struct ListenTask {
+    address: SocketAddr,
+}
+
+impl ListenTask {
+    /// Listens, and serves what `routes` gives for each life of the process.
+    ///
+    /// `routes` is called once at the start and once after each restart.
+    pub(crate) async fn start(
+        listen: SocketAddr,
+        mut restarts: mpsc::Receiver<RestartOrder>,
+        cancel: CancellationToken,
+        mut routes: impl FnMut() -> Router + Send + 'static,
+    ) -> Result<Self, StandinError> {
+        let failed = |source| StandinError::Listen {
+            address: listen,
+            source,
+        };
+        let listener = TcpListener::bind(listen).await.map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        let mut acceptor = NoDelayAcceptor::new(listener).map_err(failed)?;
+        tokio::spawn(async move {
+            loop {
+                let serving = Server::new(acceptor).try_serve(routes());
+                let Some(order) = serve_until(serving, &mut restarts, &cancel).await else {
+                    return;
+                };
+                let down = stay_down(order, &mut restarts);
+                if cancel.run_until_cancelled(down).await.is_none() {
+                    return;
+                }
+                acceptor = listen_again(address).await;
+            }
+        });
+        Ok(Self { address })
+    }
+
+    /// Returns the address that was bound.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+/// Serves until a restart is ordered; dropping the server drops its
+/// connections.
+async fn serve_until(
+    serving: impl Future<Output = std::io::Result<()>>,
+    restarts: &mut mpsc::Receiver<RestartOrder>,
+    cancel: &CancellationToken,
+) -> Option<RestartOrder> {
+    tokio::select! {
+        () = cancel.cancelled() => None,
+        order = restarts.recv() => order,
+        result = serving => {
+            if let Err(error) = result {
+                warn!("event=standin_server_ended error={error:?}");
+            }
+            None
+        }
+    }
+}
+
+async fn stay_down(order: RestartOrder, restarts: &mut mpsc::Receiver<RestartOrder>) {
+    match order.down_for {
+        Some(span) => tokio::time::sleep(span.duration()).await,
+        None => drop(restarts.recv().await),
+    }
+}
+
+async fn listen_again(address: SocketAddr) -> NoDelayAcceptor {
+    loop {
+        let bound = TcpListener::bind(address).await;
+        match bound.and_then(NoDelayAcceptor::new) {
+            Ok(acceptor) => {
+                info!("event=standin_listens_again address={address}");
+                return acceptor;
+            }
+            Err(error) => warn!("event=standin_bind_failed address={address} error={error:?}"),
+        }
+        tokio::time::sleep(REBIND_PAUSE.duration()).await;
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_standin/src/platform/handler.rs
@@ -0,0 +1,271 @@
+//! Calls to the platform.
+
+use super::object_store::{ChangeList, ChangeOutcome};
+use super::platform_faults::OutageKind;
+use super::platform_server::{PlatformShared, PlatformState};
+use crate::network::{HttpCall, abort_connection, answer_json, query_number, read_call};
+use clementinepond_types::TimeSpan;
+use log::info;
+use salvo::http::{Method, StatusCode};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+use serde_json::{Value, json};
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// Longest wait of a watch.
+const WATCH_WAIT_LIMIT: TimeSpan = TimeSpan::from_secs(600);
+
+/// Status and body of an answer.
+type JsonAnswer = (StatusCode, Value);
+
+/// What becomes of a call.
+#[derive(Debug)]
+enum CallFate {
+    /// It is answered.
+    Answered(JsonAnswer),
+    /// The connection breaks.
+    Broken,
+    /// No answer ever comes.
+    Silent,
+}
+
+/// Kind of a call, for counting and faults.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallKind {
+    Read,
+    Write,
+    Watch,
+}
+
+/// Handler of every path.
+#[derive(Debug, Clone)]
+pub(super) struct PlatformHandler {
+    shared: Arc<PlatformShared>,
+}
+
+#[async_trait]
+impl Handler for PlatformHandler {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let Some(call) = read_call(request).await else {
+            return abort_connection(request);
+        };
+        if call.parts() == ["calls"] {
+            let counts = self.shared.lock().counts;
+            return answer_json(response, StatusCode::OK, &counts);
+        }
+        let fate = self.decide(request, &call).await;
+        let delay = self.shared.lock().faults.delay;
+        tokio::time::sleep(delay.duration()).await;
+        match fate {
+            CallFate::Answered((status, value)) => {
+                info!(
+                    "event=platform_call method={} path={} status={}",
+                    call.method,
+                    call.path,
+                    status.as_u16()
+                );
+                answer_json(response, status, &value);
+            }
+            CallFate::Broken => {
+                info!(
+                    "event=platform_answer_lost method={} path={}",
+                    call.method, call.path
+                );
+                abort_connection(request);
+            }
+            CallFate::Silent => std::future::pending().await,
+        }
+    }
+}
+
+impl PlatformHandler {
+    pub(super) fn new(shared: Arc<PlatformShared>) -> Self {
+        Self { shared }
+    }
+
+    async fn decide(&self, request: &Request, call: &HttpCall) -> CallFate {
+        let kind = kind_of(call);
+        if let Some(fate) = self.admit(kind) {
+            return fate;
+        }
+        if kind == CallKind::Watch {
+            return self.watch(request, call).await;
+        }
+        let mut state = self.shared.lock();
+        let PlatformState { faults, random, .. } = &mut *state;
+        if kind == CallKind::Write && faults.lost_writes.strikes(random) {
+            return CallFate::Broken;
+        }
+        let lost = match kind {
+            CallKind::Write => faults.lost_write_answers.strikes(random),
+            _ => faults.lost_read_answers.strikes(random),
+        };
+        let silent = faults.outage == OutageKind::SilentWithEffect;
+        let answer = self.execute(&mut state, request, call);
+        drop(state);
+        if kind == CallKind::Write {
+            self.shared.changed.notify_waiters();
+        }
+        match (silent, lost) {
+            (true, _) => CallFate::Silent,
+            (false, true) => CallFate::Broken,
+            (false, false) => CallFate::Answered(answer),
+        }
+    }
+
+    /// Counts a call and refuses it when the platform is away or overrun.
+    fn admit(&self, kind: CallKind) -> Option<CallFate> {
+        let mut state = self.shared.lock();
+        match kind {
+            CallKind::Read => state.counts.reads += 1,
+            CallKind::Write => state.counts.writes += 1,
+            CallKind::Watch => state.counts.watches += 1,
+        }
+        match state.faults.outage {
+            OutageKind::None => {}
+            OutageKind::Refusing => return Some(outage()),
+            OutageKind::Silent => return Some(CallFate::Silent),
+            OutageKind::SilentWithEffect if kind == CallKind::Write => {}
+            OutageKind::SilentWithEffect => return Some(CallFate::Silent),
+        }
+        let allowed = match kind {
+            CallKind::Write => state.writes.take(),
+            CallKind::Read | CallKind::Watch => state.reads.take(),
+        };
+        (!allowed).then(|| {
+            let message = "the call rate is exceeded; call less often";
+            CallFate::Answered(fault(StatusCode::TOO_MANY_REQUESTS, "call_rate", message))
+        })
+    }
+
+    fn execute(&self, state: &mut PlatformState, request: &Request, call: &HttpCall) -> JsonAnswer {
+        let if_version = query_number(request, "if-version");
+        match (&call.method, call.parts().as_slice()) {
+            (&Method::GET, ["objects", kind, name]) => match state.store.get(kind, name) {
+                Some(object) => (StatusCode::OK, json!(object)),
+                None => missing(),
+            },
+            (&Method::GET, ["objects", kind]) => {
+                let objects = state.store.list(kind);
+                let version = state.store.version();
+                (
+                    StatusCode::OK,
+                    json!({"version": version, "objects": objects}),
+                )
+            }
+            (&Method::PUT, ["objects", kind, name]) => {
+                let value = match self.read_value(call) {
+                    Ok(value) => value,
+                    Err(answer) => return answer,
+                };
+                change_answer(state.store.put(kind, name, if_version, value), false)
+            }
+            (&Method::DELETE, ["objects", kind, name]) => {
+                change_answer(state.store.delete(kind, name, if_version), true)
+            }
+            (&Method::GET, ["vms"]) => {
+                let frozen = state.faults.vm_list_frozen;
+                (StatusCode::OK, json!({"vms": state.vms.shown(frozen)}))
+            }
+            _ => missing(),
+        }
+    }
+
+    fn read_value(&self, call: &HttpCall) -> Result<Value, JsonAnswer> {
+        if call.body.len() > self.shared.value_limit {
+            let message = "the value is too large; keep it under the limit";
+            return Err(fault(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "value_too_large",
+                message,
+            ));
+        }
+        serde_json::from_slice(&call.body).map_err(|_| {
+            let message = "the body is not JSON; send one JSON value";
+            fault(StatusCode::BAD_REQUEST, "not_json", message)
+        })
+    }
+
+    async fn watch(&self, request: &Request, call: &HttpCall) -> CallFate {
+        let parts = call.parts();
+        let Some(kind) = parts.get(1) else {
+            return CallFate::Answered(missing());
+        };
+        let from = query_number(request, "from").unwrap_or_default();
+        let wait = TimeSpan::from_millis(query_number(request, "wait-ms").unwrap_or_default());
+        let deadline = Instant::now() + wait.min(WATCH_WAIT_LIMIT).duration();
+        loop {
+            let notified = self.shared.changed.notified();
+            tokio::pin!(notified);
+            notified.as_mut().enable();
+            if let Some(fate) = self.look(kind, from, Instant::now() >= deadline) {
+                return fate;
+            }
+            tokio::select! {
+                () = notified => {}
+                () = tokio::time::sleep_until(deadline) => {}
+            }
+        }
+    }
+
+    /// Returns the end of a watch, or nothing while it has to wait.
+    fn look(&self, kind: &str, from: u64, expired: bool) -> Option<CallFate> {
+        let state = self.shared.lock();
+        match state.faults.outage {
+            OutageKind::None => {}
+            OutageKind::Refusing => return Some(outage()),
+            OutageKind::Silent | OutageKind::SilentWithEffect => return Some(CallFate::Silent),
+        }
+        match state.store.changes(kind, from) {
+            ChangeList::TooOld => {
+                let message = "the version is not kept; list the kind again";
+                let answer = fault(StatusCode::GONE, "version_too_old", message);
+                Some(CallFate::Answered(answer))
+            }
+            ChangeList::Changes(_, changes) if changes.is_empty() && !expired => None,
+            ChangeList::Changes(version, changes) => {
+                let body = json!({"version": version, "changes": changes});
+                Some(CallFate::Answered((StatusCode::OK, body)))
+            }
+        }
+    }
+}
+
+fn kind_of(call: &HttpCall) -> CallKind {
+    match (&call.method, call.parts().first()) {
+        (&Method::PUT | &Method::DELETE, _) => CallKind::Write,
+        (_, Some(&"watch")) => CallKind::Watch,
+        _ => CallKind::Read,
+    }
+}
+
+fn change_answer(outcome: ChangeOutcome, deleted: bool) -> JsonAnswer {
+    match outcome {
+        ChangeOutcome::Done(object) if deleted => {
+            (StatusCode::OK, json!({"version": object.version}))
+        }
+        ChangeOutcome::Done(object) => (StatusCode::OK, json!(object)),
+        ChangeOutcome::Conflict(object) => (StatusCode::CONFLICT, json!(object)),
+        ChangeOutcome::Missing => missing(),
+    }
+}
+
+fn outage() -> CallFate {
+    let message = "the platform is away; try again later";
+    CallFate::Answered(fault(StatusCode::SERVICE_UNAVAILABLE, "outage", message))
+}
+
+fn missing() -> JsonAnswer {
+    let message = "there is no such object; check the kind and the name";
+    fault(StatusCode::NOT_FOUND, "missing", message)
+}
+
+fn fault(status: StatusCode, code: &str, message: &str) -> JsonAnswer {
+    (status, json!({"error": {"code": code, "message": message}}))
+}
--- /dev/null
+++ b/crates/clementinepond_standin/src/platform/vm_list.rs
@@ -0,0 +1,66 @@
+//! The lagging list of VMs.
+
+use clementinepond_types::{DataCentreId, TimeSpan, VmId};
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use tokio::time::Instant;
+
+/// State of a VM as the platform shows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// The VM runs.
+    Live,
+    /// The VM is being stopped.
+    Leaving,
+}
+
+/// One VM in the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VmEntry {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Data centre of the VM.
+    pub data_centre: DataCentreId,
+    /// State of the VM.
+    pub state: VmState,
+}
+
+/// List of VMs that shows each change only after a lag.
+#[derive(Debug)]
+pub(super) struct VmList {
+    lag: TimeSpan,
+    shown: Vec<VmEntry>,
+    coming: VecDeque<(Instant, Vec<VmEntry>)>,
+}
+
+impl VmList {
+    pub(super) fn new(vms: Vec<VmEntry>, lag: TimeSpan) -> Self {
+        Self {
+            lag,
+            shown: vms,
+            coming: VecDeque::new(),
+        }
+    }
+
+    pub(super) fn replace(&mut self, vms: Vec<VmEntry>) {
+        let due = Instant::now() + self.lag.duration();
+        self.coming.push_back((due, vms));
+    }
+
+    /// Returns the newest list without the lag.
+    pub(super) fn latest(&self) -> &[VmEntry] {
+        self.coming.back().map_or(&self.shown, |(_, vms)| vms)
+    }
+
+    pub(super) fn shown(&mut self, frozen: bool) -> &[VmEntry] {
+        let now = Instant::now();
+        while !frozen && self.coming.front().is_some_and(|(due, _)| *due <= now) {
+            if let Some((_, vms)) = self.coming.pop_front() {
+                self.shown = vms;
+            }
+        }
+        &self.shown
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_standin/tests/standin/main.rs
@@ -0,0 +1,7 @@
+//! Stand-ins on real sockets.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod client;
+mod engine;
+mod platform;
