--- a/crates/clementinepond_standin/src/engine/batch_queue.rs
+++ b/crates/clementinepond_standin/src/engine/batch_queue.rs
@@ -1,8 +1,9 @@
 //! Places in the batch, given out by priority.
 
+use crate::network::hold;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::oneshot;
 
 /// Waiting position: larger priority first, then order of arrival.
@@ -75,7 +76,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, BatchState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        hold(&self.state)
     }
 
     /// Gives a place to the first that waits, or frees it.
--- a/crates/clementinepond_standin/src/engine/endpoint_report.rs
+++ b/crates/clementinepond_standin/src/engine/endpoint_report.rs
@@ -26,7 +26,7 @@
     pub model: ModelId,
 }
 
-/// Report of an engine; a plain service leaves memory and models empty.
+/// Report of an engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointReport {
     /// Name of the endpoint.
--- a/crates/clementinepond_standin/src/engine/engine_life.rs
+++ b/crates/clementinepond_standin/src/engine/engine_life.rs
@@ -8,11 +8,12 @@
 use super::engine_order::{EngineOrder, OrderAction};
 use super::prefix_cache::PrefixCache;
 use crate::fault::FaultRate;
+use crate::network::hold;
 use clementinepond_types::{FencingNumber, MemorySize};
 use log::info;
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -100,7 +101,7 @@
     }
 
     pub(super) fn lock(&self) -> MutexGuard<'_, LifeState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        hold(&self.state)
     }
 
     /// Accepts or refuses an order.
--- a/crates/clementinepond_standin/src/lib.rs
+++ b/crates/clementinepond_standin/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod network;
 pub mod platform;
 pub mod record;
+pub mod service;
 
 pub use network::StandinError;
--- a/crates/clementinepond_standin/src/network/call.rs
+++ b/crates/clementinepond_standin/src/network/call.rs
@@ -1,7 +1,7 @@
 //! One HTTP call, taken apart.
 
 use bytes::Bytes;
-use salvo::http::{HeaderMap, Method, StatusCode, header};
+use salvo::http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use salvo::{Request, Response};
 use serde::Serialize;
 
@@ -58,11 +58,17 @@
 pub(crate) fn answer_json(response: &mut Response, status: StatusCode, value: &impl Serialize) {
     let body = serde_json::to_vec(value).unwrap_or_default();
     response.status_code(status);
-    let json = header::HeaderValue::from_static("application/json");
-    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    set_header(response, header::CONTENT_TYPE.as_str(), "application/json");
     response.body(body);
 }
 
+/// Sets a header; a value that no header can carry is left out.
+pub(crate) fn set_header(response: &mut Response, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        response.headers_mut().insert(name, value);
+    }
+}
+
 /// Breaks the connection of a call without an answer.
 pub(crate) fn abort_connection(request: &Request) {
     if let Some(control) = request.extensions().get::<salvo::conn::ConnCtrl>() {
--- a/crates/clementinepond_standin/src/network/listen.rs
+++ b/crates/clementinepond_standin/src/network/listen.rs
@@ -14,6 +14,9 @@
 /// Pause between two attempts to listen again on the same address.
 const REBIND_PAUSE: TimeSpan = TimeSpan::from_millis(20);
 
+/// Orders that may wait: a crash and the order that ends it.
+pub(crate) const PENDING_RESTARTS: usize = 8;
+
 /// Order to drop all connections and stop listening for a while.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RestartOrder {
--- a/crates/clementinepond_standin/src/record/call_record.rs
+++ b/crates/clementinepond_standin/src/record/call_record.rs
@@ -38,6 +38,7 @@
 pub struct CallRecord {
     limit: usize,
     calls: VecDeque<RecordedCall>,
+    run_order: VecDeque<Box<str>>,
     runs_by_request: BTreeMap<Box<str>, u64>,
     runs_by_body: BTreeMap<Box<str>, u64>,
     /// Calls that arrived, also those no longer kept.
@@ -89,6 +90,10 @@
         }
         if let Some(id) = call.header("x-request-id") {
             *self.runs_by_request.entry(id.into()).or_default() += 1;
+            if self.run_order.len() == self.limit {
+                self.run_order.pop_front();
+            }
+            self.run_order.push_back(id.into());
         }
         let body: Box<str> = String::from_utf8_lossy(&call.body).into();
         *self.runs_by_body.entry(body).or_default() += 1;
@@ -106,6 +111,12 @@
         self.calls.iter().any(|call| call.contains(text))
     }
 
+    /// Returns the identifiers of the latest runs, in the order of their start.
+    #[must_use]
+    pub fn run_order(&self) -> &VecDeque<Box<str>> {
+        &self.run_order
+    }
+
     /// Returns how often a request of this identifier ran.
     #[must_use]
     pub fn runs_of_request(&self, id: &str) -> u64 {
--- /dev/null
+++ b/crates/clementinepond_standin/src/service/service_server.rs
@@ -0,0 +1,175 @@
+//! The running service and the handle to it.
+
+use super::handler::ServiceHandler;
+use super::service_faults::ServiceFaults;
+use super::service_options::ServiceOptions;
+use crate::fault::FaultRate;
+use crate::network::{
+    ListenTask, PENDING_RESTARTS, RestartOrder, StandinError, first_incarnation, hold,
+};
+use crate::record::CallRecord;
+use clementinepond_types::TimeSpan;
+use log::info;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use salvo::Router;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use tokio::sync::{Semaphore, mpsc};
+use tokio_util::sync::CancellationToken;
+
+/// Faults and the chance by which they strike.
+#[derive(Debug)]
+struct FaultState {
+    faults: ServiceFaults,
+    random: ChaCha8Rng,
+}
+
+/// State shared by the handle and all lives.
+#[derive(Debug)]
+pub(super) struct ServiceShared {
+    pub(super) options: ServiceOptions,
+    pub(super) places: Semaphore,
+    pub(super) queued: AtomicU64,
+    pub(super) report_number: AtomicU64,
+    pub(super) incarnation: AtomicU64,
+    pub(super) draining: AtomicBool,
+    down: AtomicBool,
+    restarts: mpsc::Sender<RestartOrder>,
+    faults: Mutex<FaultState>,
+    record: Mutex<CallRecord>,
+}
+
+impl ServiceShared {
+    pub(super) fn record(&self) -> MutexGuard<'_, CallRecord> {
+        hold(&self.record)
+    }
+
+    /// Returns whether a fault strikes this time.
+    pub(super) fn strikes(&self, rate: impl FnOnce(&mut ServiceFaults) -> &mut FaultRate) -> bool {
+        let mut state = hold(&self.faults);
+        let FaultState { faults, random } = &mut *state;
+        rate(faults).strikes(random)
+    }
+
+    /// Returns the time by which this answer is late.
+    pub(super) fn late_by(&self) -> TimeSpan {
+        let late = self.strikes(|faults| &mut faults.late_answers);
+        let late_by = hold(&self.faults).faults.late_by;
+        if late { late_by } else { TimeSpan::ZERO }
+    }
+
+    /// Crashes when the body holds a marker; returns whether it did.
+    pub(super) fn crash_on(&self, body: &str) -> bool {
+        let down_for = {
+            let state = hold(&self.faults);
+            let mut markers = state.faults.crash_markers.iter();
+            if !markers.any(|marker| body.contains(marker.as_ref())) {
+                return false;
+            }
+            state.faults.down_for
+        };
+        self.crash(down_for);
+        true
+    }
+
+    fn crash(&self, down_for: Option<TimeSpan>) {
+        if self.down.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        info!("event=service_crashed endpoint={}", self.options.endpoint);
+        self.order_restart(down_for);
+    }
+
+    fn order_restart(&self, down_for: Option<TimeSpan>) {
+        // The channel is full only when more crashes than it holds are due.
+        let _ = self.restarts.try_send(RestartOrder { down_for });
+    }
+}
+
+/// Running service stand-in; stops when its token is cancelled.
+#[derive(Debug)]
+pub struct ServiceServer {
+    task: ListenTask,
+    shared: Arc<ServiceShared>,
+}
+
+impl ServiceServer {
+    /// Starts to listen.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be listened on.
+    pub async fn start(
+        options: ServiceOptions,
+        cancel: CancellationToken,
+    ) -> Result<Self, StandinError> {
+        let (restarts, orders) = mpsc::channel(PENDING_RESTARTS);
+        let listen = options.listen;
+        let incarnation = options.incarnation.unwrap_or_else(first_incarnation);
+        let shared = Arc::new(ServiceShared {
+            places: Semaphore::new(options.concurrency),
+            queued: AtomicU64::new(0),
+            report_number: AtomicU64::new(0),
+            // Each life adds one when it starts.
+            incarnation: AtomicU64::new(incarnation.saturating_sub(1)),
+            draining: AtomicBool::new(false),
+            down: AtomicBool::new(false),
+            restarts,
+            faults: Mutex::new(FaultState {
+                faults: options.faults.clone(),
+                random: ChaCha8Rng::seed_from_u64(options.seed),
+            }),
+            record: Mutex::new(CallRecord::new(options.recorded_calls)),
+            options,
+        });
+        let lives = Arc::clone(&shared);
+        let routes = move || {
+            lives.incarnation.fetch_add(1, Ordering::AcqRel);
+            lives.report_number.store(0, Ordering::Release);
+            lives.down.store(false, Ordering::Release);
+            Router::with_path("{**path}").goal(ServiceHandler::new(Arc::clone(&lives)))
+        };
+        let task = ListenTask::start(listen, orders, cancel, routes).await?;
+        info!(
+            "event=service_started endpoint={} address={}",
+            shared.options.endpoint,
+            task.address()
+        );
+        Ok(Self { task, shared })
+    }
+
+    /// Returns the address it listens on, the same after each restart.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.task.address()
+    }
+
+    /// Changes the faults.
+    pub fn set_faults(&self, change: impl FnOnce(&mut ServiceFaults)) {
+        change(&mut hold(&self.shared.faults).faults);
+    }
+
+    /// Sets whether reports say that the endpoint leaves.
+    pub fn set_draining(&self, draining: bool) {
+        self.shared.draining.store(draining, Ordering::Release);
+    }
+
+    /// Breaks all connections and stops to listen; listens again with a new
+    /// incarnation after `down_for`, or when told by [`Self::come_back`].
+    pub fn crash(&self, down_for: Option<TimeSpan>) {
+        self.shared.crash(down_for);
+    }
+
+    /// Listens again after a crash without an end.
+    pub fn come_back(&self) {
+        self.shared.order_restart(Some(TimeSpan::ZERO));
+    }
+
+    /// Returns what it saw.
+    #[must_use]
+    pub fn record(&self) -> CallRecord {
+        self.shared.record().clone()
+    }
+}
--- a/crates/clementinepond_standin/tests/standin/main.rs
+++ b/crates/clementinepond_standin/tests/standin/main.rs
@@ -4,4 +4,6 @@
 
 mod client;
 mod engine;
+mod engine_faults;
 mod platform;
+mod service;
