--- a/crates/clementinepond_standin/src/engine/generation.rs
+++ b/crates/clementinepond_standin/src/engine/generation.rs
@@ -131,7 +131,11 @@
         }
         match self.turn_now() {
             Some(StreamTurn::EndCleanly) => return None,
-            Some(StreamTurn::Break) => return Some(self.break_off("truncated")),
+            Some(StreamTurn::Break) => {
+                // Lets the server send what was written before it breaks.
+                tokio::task::yield_now().await;
+                return Some(self.break_off("truncated"));
+            }
             Some(StreamTurn::Cross(shape, seed)) => {
                 self.generation.shape = shape;
                 self.generation.plan.seed = seed;
--- a/crates/clementinepond_standin/src/lib.rs
+++ b/crates/clementinepond_standin/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod engine;
 pub mod fault;
+pub mod load;
 pub mod network;
 pub mod platform;
 pub mod record;
--- /dev/null
+++ b/crates/clementinepond_standin/src/load/load_tally.rs
@@ -0,0 +1,92 @@
+//! Counting while a load runs.
+
+use super::answer_check::AnswerVerdict;
+use super::latency_histogram::LatencyHistogram;
+use super::load_report::LoadReport;
+use clementinepond_types::TimeSpan;
+
+/// How one request ended.
+#[derive(Debug)]
+pub(super) struct RequestEnd {
+    pub(super) caller: Box<str>,
+    pub(super) send_lag: TimeSpan,
+    pub(super) status: Option<u16>,
+    pub(super) outcome: Option<Box<str>>,
+    pub(super) verdict: AnswerVerdict,
+    pub(super) tokens: u64,
+    pub(super) first_token: Option<TimeSpan>,
+    pub(super) between_tokens: Vec<TimeSpan>,
+    pub(super) whole: TimeSpan,
+}
+
+/// Counts and latencies so far.
+#[derive(Debug)]
+pub(super) struct LoadTally {
+    report: LoadReport,
+    first_token: LatencyHistogram,
+    between_tokens: LatencyHistogram,
+    whole: LatencyHistogram,
+    send_lag: LatencyHistogram,
+}
+
+impl LoadTally {
+    pub(super) fn new(planned: u64) -> Self {
+        Self {
+            report: LoadReport {
+                planned,
+                ..LoadReport::default()
+            },
+            first_token: LatencyHistogram::new(),
+            between_tokens: LatencyHistogram::new(),
+            whole: LatencyHistogram::new(),
+            send_lag: LatencyHistogram::new(),
+        }
+    }
+
+    pub(super) fn leave_out(&mut self) {
+        self.report.left_out += 1;
+    }
+
+    pub(super) fn add(&mut self, end: RequestEnd) {
+        let report = &mut self.report;
+        report.sent += 1;
+        let caller = report.by_caller.entry(end.caller).or_default();
+        caller.sent += 1;
+        if let Some(status) = end.status {
+            *report.by_status.entry(status).or_default() += 1;
+        }
+        if let Some(outcome) = end.outcome {
+            *report.by_outcome.entry(outcome).or_default() += 1;
+        }
+        match end.verdict {
+            AnswerVerdict::Right => {
+                report.answered += 1;
+                caller.answered += 1;
+                caller.tokens += end.tokens;
+                self.whole.record(end.whole);
+            }
+            AnswerVerdict::Refused => caller.refused += 1,
+            AnswerVerdict::Wrong => report.wrong += 1,
+            AnswerVerdict::Incomplete => report.incomplete += 1,
+            AnswerVerdict::Broken => report.broken += 1,
+            AnswerVerdict::TimedOut => report.timed_out += 1,
+        }
+        self.send_lag.record(end.send_lag);
+        if let Some(latency) = end.first_token {
+            self.first_token.record(latency);
+        }
+        for latency in end.between_tokens {
+            self.between_tokens.record(latency);
+        }
+    }
+
+    pub(super) fn finish(self) -> LoadReport {
+        LoadReport {
+            first_token: self.first_token.summary(),
+            between_tokens: self.between_tokens.summary(),
+            whole: self.whole.summary(),
+            send_lag: self.send_lag.summary(),
+            ..self.report
+        }
+    }
+}
--- a/crates/clementinepond_standin/tests/standin/main.rs
+++ b/crates/clementinepond_standin/tests/standin/main.rs
@@ -5,5 +5,6 @@
 mod client;
 mod engine;
 mod engine_faults;
+mod load;
 mod platform;
 mod service;
