--- /dev/null
+++ b/crates/clementinepond_settings/src/fleet/mod.rs
@@ -0,0 +1,20 @@
+//! Configuration that all VMs share.
+//!
+//! The platform holds it as one object; operators change it through the
+//! administration API. A configuration is checked before it is stored and
+//! again before a VM puts it in force.
+
+mod change;
+mod check;
+mod client_account;
+mod endpoint_entry;
+mod exception;
+mod fleet_configuration;
+mod model_entry;
+
+pub use change::{ChangeError, ConfigurationChange};
+pub use client_account::{ClientAccount, KeyEntry};
+pub use endpoint_entry::{EndpointEntry, EndpointKind, ServiceRoute};
+pub use exception::{ExceptionChange, FleetException};
+pub use fleet_configuration::{DataCentreEntry, FleetConfiguration, FleetDefaults};
+pub use model_entry::{AdapterEntry, ModelEntry};
--- /dev/null
+++ b/crates/clementinepond_settings/src/vm/check.rs
@@ -0,0 +1,100 @@
+//! Checks that a type alone cannot express.
+
+use super::VmSettings;
+use crate::FaultList;
+use clementinepond_types::TimeSpan;
+
+/// Shortest accepted secret, in bytes.
+const SECRET_LENGTH_MIN: usize = 16;
+/// Smallest accepted limit of a body, in bytes.
+const BODY_LIMIT_MIN: usize = 1024;
+const LOG_LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+
+impl VmSettings {
+    /// Adds every fault among the values.
+    pub fn check(&self, faults: &mut FaultList) {
+        self.check_peer(faults);
+        self.check_caller(faults);
+        self.check_request(faults);
+        self.check_spans(faults);
+        self.check_telemetry(faults);
+    }
+
+    fn check_peer(&self, faults: &mut FaultList) {
+        faults.require(
+            self.peer.secret.len() >= SECRET_LENGTH_MIN,
+            "peer.secret",
+            "the secret is shorter than 16 bytes",
+            "set the same random secret of 16 or more bytes on every VM",
+        );
+        faults.require(
+            self.peer
+                .advertise
+                .is_none_or(|address| address.port() != 0),
+            "peer.advertise",
+            "port 0 cannot be dialled",
+            "name the port that other VMs reach",
+        );
+    }
+
+    fn check_caller(&self, faults: &mut FaultList) {
+        faults.require(
+            self.caller.body_limit_bytes >= BODY_LIMIT_MIN,
+            "caller.body_limit_bytes",
+            "the limit is below 1024 bytes",
+            "set it to at least the largest request",
+        );
+        faults.require(
+            self.caller.concurrent_requests > 0,
+            "caller.concurrent_requests",
+            "no request could be served",
+            "set it to 1 or more",
+        );
+    }
+
+    fn check_request(&self, faults: &mut FaultList) {
+        faults.require(
+            self.request.attempt_limit > 0,
+            "request.attempt_limit",
+            "no attempt is allowed",
+            "set it to 1 or more",
+        );
+        faults.require(
+            self.request.retry_percent <= 100,
+            "request.retry_percent",
+            "more retries than requests would be allowed",
+            "set it to 100 or less",
+        );
+    }
+
+    fn check_spans(&self, faults: &mut FaultList) {
+        let spans = [
+            ("caller.body_timeout", self.caller.body_timeout),
+            ("platform.timeout", self.platform.timeout),
+            ("platform.watch_wait", self.platform.watch_wait),
+            ("platform.list_interval", self.platform.list_interval),
+            ("endpoint.connect_timeout", self.endpoint.connect_timeout),
+            ("endpoint.answer_timeout", self.endpoint.answer_timeout),
+            ("endpoint.token_timeout", self.endpoint.token_timeout),
+            ("endpoint.report_interval", self.endpoint.report_interval),
+            ("request.total_timeout", self.request.total_timeout),
+        ];
+        for (place, span) in spans {
+            faults.require(
+                span > TimeSpan::ZERO,
+                place,
+                "the time is zero",
+                "set a time like \"500ms\"",
+            );
+        }
+    }
+
+    fn check_telemetry(&self, faults: &mut FaultList) {
+        faults.require(
+            LOG_LEVELS.contains(&&*self.telemetry.log_level),
+            "telemetry.log_level",
+            "the level is unknown",
+            "use off, error, warn, info, debug or trace",
+        );
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_settings/src/vm/mod.rs
@@ -0,0 +1,15 @@
+//! Settings of one VM.
+
+mod check;
+mod read;
+mod reference;
+mod section;
+mod vm_settings;
+
+pub use read::SettingsError;
+pub use reference::{SETTING_ENTRIES, SettingEntry, reference_page};
+pub use section::{
+    AdminSettings, CallerSettings, EndpointSettings, PeerSeed, PeerSettings, PlatformSettings,
+    RequestSettings, TelemetrySettings, TlsSettings,
+};
+pub use vm_settings::VmSettings;
