--- /dev/null
+++ b/crates/clementinepond_decide/src/route/choose.rs
@@ -0,0 +1,133 @@
+//! Choice of an endpoint.
+
+use super::{
+    EndpointRole, EndpointState, ReplicaState, RouteError, RouteQuery, RouteTable, RouteTarget,
+};
+use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
+
+/// Time after which a caller may ask again for a target without a replica.
+const NO_REPLICA_RETRY: TimeSpan = TimeSpan::from_secs(2);
+
+/// An endpoint that could serve a request.
+struct RouteCandidate<'a> {
+    endpoint: &'a EndpointId,
+    wait: TimeSpan,
+}
+
+impl RouteTable {
+    /// Names the endpoint for a request.
+    ///
+    /// Endpoints that failed the request or back off are used only when no
+    /// other is left.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no endpoint holds what the request needs.
+    pub fn choose(&self, query: &RouteQuery, now: LocalTime) -> Result<EndpointId, RouteError> {
+        let candidates = self.candidates(query, |id, state| {
+            !query.excluded.contains(id)
+                && state.backoff_deadline <= now
+                && self.is_fresh(state, now)
+        });
+        let candidates = if candidates.is_empty() {
+            self.candidates(query, |id, _| !query.excluded.contains(id))
+        } else {
+            candidates
+        };
+        pick(&candidates, query.seed).ok_or(RouteError::NoReplica {
+            retry_after: NO_REPLICA_RETRY,
+        })
+    }
+
+    fn is_fresh(&self, state: &EndpointState, now: LocalTime) -> bool {
+        now.since(state.reported) <= self.settings.report_timeout
+    }
+
+    fn candidates(
+        &self,
+        query: &RouteQuery,
+        accept: impl Fn(&EndpointId, &EndpointState) -> bool,
+    ) -> Vec<RouteCandidate<'_>> {
+        self.endpoints
+            .iter()
+            .filter(|(id, state)| !state.is_leaving() && accept(id, state))
+            .filter(|(_, state)| serves(state, &query.target))
+            .map(|(endpoint, state)| RouteCandidate {
+                endpoint,
+                wait: self.wait(state, query),
+            })
+            .collect()
+    }
+
+    fn wait(&self, state: &EndpointState, query: &RouteQuery) -> TimeSpan {
+        let settings = &self.settings;
+        let (running, queued) = state
+            .report
+            .as_ref()
+            .map_or((0, 0), |report| (report.running, report.queued));
+        let running = u64::from(running + state.sent_since_report);
+        let mut wait = settings.running_cost.fraction(running, 1);
+        wait += settings.queued_cost.fraction(u64::from(queued), 1);
+        if !query
+            .prefix
+            .is_some_and(|prefix| state.prefixes.contains(prefix))
+        {
+            wait += settings.prefill_cost.fraction(query.prompt_tokens, 1000);
+        }
+        if lacks_adapter(state, &query.target) {
+            wait += settings.adapter_cost;
+        }
+        if state.profile.data_centre != self.data_centre {
+            wait += settings.distance_cost;
+        }
+        wait
+    }
+}
+
+fn serves(state: &EndpointState, target: &RouteTarget) -> bool {
+    match (target, &state.profile.role) {
+        (RouteTarget::Service(wanted), EndpointRole::Service(route)) => wanted == route,
+        (RouteTarget::Model { model, .. }, EndpointRole::Engine) => state
+            .report
+            .as_ref()
+            .and_then(|report| report.models.get(model))
+            .is_some_and(|replica| replica.state == ReplicaState::Ready),
+        _ => false,
+    }
+}
+
+fn lacks_adapter(state: &EndpointState, target: &RouteTarget) -> bool {
+    let RouteTarget::Model {
+        adapter: Some(adapter),
+        ..
+    } = target
+    else {
+        return false;
+    };
+    !state
+        .report
+        .as_ref()
+        .is_some_and(|report| report.adapters.contains_key(adapter))
+}
+
+/// Takes the shorter wait of two random candidates.
+fn pick(candidates: &[RouteCandidate<'_>], seed: u64) -> Option<EndpointId> {
+    let count = u64::try_from(candidates.len()).ok()?;
+    if count == 0 {
+        return None;
+    }
+    let first = index(seed % count);
+    let step = 1 + (seed / count) % count.saturating_sub(1).max(1);
+    let second = index((seed % count + step) % count);
+    let (first, second) = (candidates.get(first)?, candidates.get(second)?);
+    let better = if second.wait < first.wait {
+        second
+    } else {
+        first
+    };
+    Some(better.endpoint.clone())
+}
+
+fn index(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(0)
+}
--- a/crates/clementinepond_types/src/quantity/counter.rs
+++ b/crates/clementinepond_types/src/quantity/counter.rs
@@ -53,6 +53,8 @@
     MemorySize(u64) "{} MiB",
     /// Parts of a data centre's share of every limit; 1,024 make the whole.
     PartCount(u32) "{}",
+    /// Number by which one VM tells its running requests apart.
+    RequestTicket(u64) "{}",
     /// Priority class of a request; a larger number is served first.
     PriorityClass(u8) "{}",
 }
--- a/crates/clementinepond_types/src/quantity/mod.rs
+++ b/crates/clementinepond_types/src/quantity/mod.rs
@@ -3,5 +3,7 @@
 mod counter;
 mod token;
 
-pub use counter::{Epoch, FencingNumber, MemorySize, ObjectVersion, PartCount, PriorityClass};
+pub use counter::{
+    Epoch, FencingNumber, MemorySize, ObjectVersion, PartCount, PriorityClass, RequestTicket,
+};
 pub use token::{QuantityError, TokenCount, TokenRate};
