--- /dev/null
+++ b/crates/clementinepond_decide/src/limit/periodic.rs
@@ -0,0 +1,121 @@
+//! Periodic work: polls, waiting requests, returns and renewals of lots.
+
+use super::account::AccountState;
+use super::loan;
+use super::outbox::EffectOutbox;
+use super::serve;
+use super::settings::LimitSettings;
+use super::slice::PartRights;
+use super::state::LimitState;
+use clementinepond_types::{AccountId, LocalTime, TokenCount, VmId};
+
+/// Does what is due.
+pub(super) fn tick(state: &mut LimitState, now: LocalTime, outbox: &mut EffectOutbox) {
+    loan::poll_due(state, now, outbox);
+    let busy: Vec<AccountId> = state.busy.iter().cloned().collect();
+    for id in busy {
+        serve::serve_at(state, &id, now, outbox);
+    }
+    if state.report_at <= now {
+        state.report_at = now + state.settings.report_interval;
+        report_all(state, now, outbox);
+    }
+    if state.releasing && is_free(state) {
+        outbox.released();
+    }
+}
+
+fn report_all(state: &mut LimitState, now: LocalTime, outbox: &mut EffectOutbox) {
+    let ids: Vec<AccountId> = state.channels.iter().cloned().collect();
+    for id in ids {
+        let Some(account) = state.accounts.get_mut(&id) else {
+            continue;
+        };
+        account.settle(now, &state.settings);
+        drop_abandoned(account, now, &state.settings);
+        let most = returnable(&id, account, &state.rights, &state.settings);
+        let due = return_unused(account, most, now, &state.settings);
+        if account.is_quiet() {
+            state.channels.remove(&id);
+        }
+        for (peer, is_answered) in due {
+            if is_answered {
+                state.peers.asked(&peer, now, &state.settings);
+            }
+            outbox.report(&peer, &id);
+        }
+    }
+}
+
+fn drop_abandoned(account: &mut AccountState, now: LocalTime, settings: &LimitSettings) {
+    account
+        .borrowed
+        .retain(|_, channel| !channel.is_abandoned(now, settings.lot_span));
+}
+
+/// Returns how much capacity may go back without leaving lots unbacked.
+fn returnable(
+    id: &AccountId,
+    account: &AccountState,
+    rights: &PartRights,
+    settings: &LimitSettings,
+) -> TokenCount {
+    let borrowed = account.bucket.borrowed();
+    let lapse = account.lent.values().map(|channel| channel.deadline).max();
+    let Some(lapse) = lapse else {
+        return borrowed;
+    };
+    let committed = account.bucket.lent() + borrowed;
+    if rights.assured_until(id, account, committed, settings) >= lapse {
+        return borrowed;
+    }
+    TokenCount::ZERO
+}
+
+/// Returns unused capacity and tokens; lists the VMs to report to, and
+/// whether each of them will answer.
+fn return_unused(
+    account: &mut AccountState,
+    most: TokenCount,
+    now: LocalTime,
+    settings: &LimitSettings,
+) -> Vec<(VmId, bool)> {
+    let mut due = Vec::new();
+    let half = settings.lot_span.fraction(1, 2);
+    let is_idle = account.queue.is_empty();
+    let bucket = &mut account.bucket;
+    let mut left = most;
+    for (peer, channel) in &mut account.borrowed {
+        let capacity = channel.outstanding().min(bucket.room()).min(left);
+        let level = if is_idle {
+            bucket
+                .level()
+                .min(channel.outstanding().saturating_sub(capacity))
+                .min(left.saturating_sub(capacity))
+        } else {
+            TokenCount::ZERO
+        };
+        let is_returning = capacity + level > TokenCount::ZERO;
+        if is_returning {
+            left = left.saturating_sub(capacity + level);
+            channel.give_back(capacity + level, level);
+            bucket.give_up(capacity + level, level);
+        }
+        let is_lasting = channel.outstanding() > TokenCount::ZERO;
+        let is_ageing = channel
+            .deadline()
+            .is_some_and(|deadline| now.until(deadline) < half);
+        if is_returning || (is_lasting && is_ageing) {
+            due.push((peer.clone(), is_lasting));
+        }
+    }
+    due
+}
+
+/// Returns whether nothing of this VM is in other hands, or theirs in its.
+fn is_free(state: &LimitState) -> bool {
+    let is_settled = |account: &AccountState| account.lent.is_empty() && account.queue.is_empty();
+    state.rights.lent.is_empty()
+        && state.tickets.is_empty()
+        && state.accounts.values().all(is_settled)
+}
--- /dev/null
+++ b/crates/clementinepond_decide/src/limit/reservation.rs
@@ -0,0 +1,68 @@
+//! Life cycle of one admission.
+
+use super::account::QueueKey;
+use clementinepond_types::{AccountId, TokenCount};
+
+/// Admission in one state of its life.
+#[derive(Debug)]
+pub(super) struct Ticket<S> {
+    pub(super) account: AccountId,
+    pub(super) prompt: TokenCount,
+    pub(super) output: TokenCount,
+    pub(super) state: S,
+}
+
+/// The request waits for tokens.
+#[derive(Debug)]
+pub(super) struct Waiting {
+    pub(super) key: QueueKey,
+}
+
+/// The request is admitted and its tokens are reserved.
+#[derive(Debug)]
+pub(super) struct Admitted {
+    spent: TokenCount,
+}
+
+impl Ticket<Waiting> {
+    pub(super) fn admit(self) -> Ticket<Admitted> {
+        Ticket {
+            account: self.account,
+            prompt: self.prompt,
+            output: self.output,
+            state: Admitted {
+                spent: TokenCount::ZERO,
+            },
+        }
+    }
+}
+
+impl<S> Ticket<S> {
+    pub(super) fn cost(&self) -> TokenCount {
+        self.prompt + self.output
+    }
+}
+
+impl Ticket<Admitted> {
+    /// Raises the spent total; returns what is newly spent of the reservation.
+    pub(super) fn spend_up_to(&mut self, total: TokenCount) -> TokenCount {
+        let total = total.min(self.cost());
+        let spent = total.saturating_sub(self.state.spent);
+        self.state.spent += spent;
+        spent
+    }
+
+    /// Returns reserved tokens that are not spent.
+    pub(super) fn unspent(&self) -> TokenCount {
+        self.cost().saturating_sub(self.state.spent)
+    }
+}
+
+/// Admission in any state.
+#[derive(Debug)]
+pub(super) enum TicketState {
+    /// Waiting for tokens.
+    Waiting(Ticket<Waiting>),
+    /// Admitted.
+    Admitted(Ticket<Admitted>),
+}
