--- /dev/null
+++ b/crates/clementinepond_decide/src/claim/owner/commit.rs
@@ -0,0 +1,359 @@
+//! Group commits of a shard to its platform object.
+
+use super::granting::made_durable;
+use super::shard::{
+    ActiveState, Collecting, Commit, Holding, OwnerContext, ReplicaSlot, SettledRecord, ShardEntry,
+    ShardTenure,
+};
+use super::taking::{assemble, choose_replicas, start};
+use crate::claim::effect::ClaimEffect;
+use crate::claim::key::ClaimKey;
+use crate::claim::object::{RunningRecord, ShardObject, ShardWitness, encode_batches};
+use crate::claim::settings::ClaimMutation;
+use crate::port::{ReadReply, StoreReply, VersionedObject};
+use clementinepond_types::{LocalTime, ObjectVersion, TimeSpan};
+use std::collections::BTreeMap;
+
+/// Writes the new term with everything that was collected.
+pub(crate) fn activate(
+    tenure: ShardTenure<Collecting>,
+    context: &mut OwnerContext<'_>,
+) -> ShardEntry {
+    let shard = tenure.shard;
+    let stage = assemble(tenure.stage, context);
+    let mut tenure = ShardTenure { shard, stage };
+    write(&mut tenure, context);
+    ShardEntry::Holding(Box::new(tenure))
+}
+
+/// Writes the object if that is due.
+pub(crate) fn flush(tenure: &mut ShardTenure<Holding>, context: &mut OwnerContext<'_>) {
+    let shard = tenure.shard;
+    let stage = &mut tenure.stage;
+    if let Some(commit) = &mut stage.commit {
+        if commit.read_at.is_some_and(|read_at| context.now >= read_at) {
+            commit.read_at = None;
+            context.effects.push(ClaimEffect::Read { shard });
+        }
+        return;
+    }
+    if context.now < stage.last_write_at + context.settings.commit_gap {
+        return;
+    }
+    if is_due(stage, context) {
+        write(tenure, context);
+    }
+}
+
+fn is_due(stage: &Holding, context: &OwnerContext<'_>) -> bool {
+    let Some(dirty_since) = stage.dirty_since else {
+        return stage.closing || !stage.activated || wants_replicas(stage, context);
+    };
+    stage.closing
+        || !stage.activated
+        || wants_replicas(stage, context)
+        || context.now >= dirty_since + context.settings.commit_interval
+        || is_urgent(stage, context)
+}
+
+/// Returns whether claims wait that replicas do not make durable in time.
+fn is_urgent(stage: &Holding, context: &OwnerContext<'_>) -> bool {
+    let patience = if stage.copies_count {
+        context.settings.copy_timeout
+    } else {
+        TimeSpan::ZERO
+    };
+    stage
+        .pending
+        .iter()
+        .filter_map(|key| stage.active.get(key))
+        .any(|record| context.now >= record.changed_at + patience)
+}
+
+/// Returns whether the replicas should be other ones.
+fn wants_replicas(stage: &Holding, context: &OwnerContext<'_>) -> bool {
+    let wanted = wanted_replicas(stage, context);
+    let same = wanted.len() == stage.replicas.len()
+        && wanted
+            .iter()
+            .zip(&stage.replicas)
+            .all(|(a, b)| a.vm == b.vm && a.incarnation == b.incarnation);
+    !same || (!wanted.is_empty() && !stage.copies_count)
+}
+
+fn wanted_replicas(stage: &Holding, context: &OwnerContext<'_>) -> Vec<ReplicaSlot> {
+    if stage.closing {
+        return Vec::new();
+    }
+    choose_replicas(&stage.enlisted, context)
+}
+
+fn write(tenure: &mut ShardTenure<Holding>, context: &mut OwnerContext<'_>) {
+    let shard = tenure.shard;
+    let number = context.next_write();
+    let stage = &mut tenure.stage;
+    let replicas = if wants_replicas(stage, context) {
+        wanted_replicas(stage, context)
+    } else {
+        stage.replicas.clone()
+    };
+    if wants_replicas(stage, context)
+        && context.settings.mutation != ClaimMutation::CopyBeforeWitness
+    {
+        // Until this write is known to be stored, the object may name either
+        // set of witnesses, so that no acknowledgement counts.
+        stage.copies_count = false;
+    }
+    if context.settings.mutation == ClaimMutation::CopyBeforeWitness {
+        stage.replicas.clone_from(&replicas);
+        stage.copies_count = !replicas.is_empty();
+    }
+    let object = encode(stage, &replicas, number, context);
+    stage.commit = Some(Commit {
+        write: number,
+        covers: stage.sequence,
+        replicas,
+        read_at: None,
+    });
+    stage.last_write_at = context.now;
+    stage.dirty_since = None;
+    context.effects.push(ClaimEffect::Store {
+        shard,
+        expected: stage.version,
+        object,
+    });
+}
+
+fn encode(
+    stage: &Holding,
+    replicas: &[ReplicaSlot],
+    write: u64,
+    context: &OwnerContext<'_>,
+) -> ShardObject {
+    let now = context.now;
+    let mut settled = stage.settled.clone();
+    let mut running = Vec::new();
+    for (key, record) in &stage.active {
+        if let ActiveState::Running { holder, expiry } = &record.state {
+            running.push(RunningRecord {
+                key: *key,
+                fingerprint: record.fingerprint,
+                dated: record.dated,
+                holder: holder.clone(),
+                time_left: now.until(*expiry),
+            });
+        } else {
+            settled.insert(*key, settle(stage, key, context));
+        }
+    }
+    let quarantine_left = stage
+        .quarantine
+        .map_or(TimeSpan::ZERO, |quarantine| now.until(quarantine.until));
+    ShardObject {
+        term: stage.term,
+        epoch: context.epoch,
+        holder: context.vm.clone(),
+        incarnation: context.incarnation,
+        write,
+        witnesses: witnesses(replicas, context),
+        quarantine_left,
+        running,
+        batches: encode_batches(&settled, context.settings.retention, now),
+    }
+}
+
+fn witnesses(replicas: &[ReplicaSlot], context: &OwnerContext<'_>) -> Vec<ShardWitness> {
+    if replicas.is_empty() {
+        // Without replicas nothing is granted before it is in the object.
+        return Vec::new();
+    }
+    let own = ShardWitness {
+        vm: context.vm.clone(),
+        incarnation: context.incarnation,
+    };
+    let others = replicas.iter().map(|replica| ShardWitness {
+        vm: replica.vm.clone(),
+        incarnation: replica.incarnation,
+    });
+    std::iter::once(own).chain(others).collect()
+}
+
+fn settle(stage: &Holding, key: &ClaimKey, context: &OwnerContext<'_>) -> SettledRecord {
+    let record = &stage.active[key];
+    SettledRecord {
+        fingerprint: record.fingerprint,
+        dated: record.dated,
+        answered: matches!(record.state, ActiveState::Answered(_)),
+        forget_at: record.changed_at + context.settings.kept_for(record.dated),
+    }
+}
+
+/// Takes the answer to a write.
+pub(crate) fn commit_stored(
+    mut tenure: ShardTenure<Holding>,
+    write: u64,
+    reply: StoreReply<ShardObject>,
+    context: &mut OwnerContext<'_>,
+) -> Result<ShardEntry, Box<ShardTenure<Holding>>> {
+    let ours = tenure
+        .stage
+        .commit
+        .as_ref()
+        .is_some_and(|commit| commit.write == write);
+    if !ours {
+        return Ok(ShardEntry::Holding(Box::new(tenure)));
+    }
+    match reply {
+        StoreReply::Stored { version } => stored(&mut tenure, version, context),
+        StoreReply::Conflict(Some(found)) => return resolve(tenure, found, context),
+        StoreReply::Conflict(None) => return Err(Box::new(tenure)),
+        StoreReply::Unknown if context.settings.mutation == ClaimMutation::TrustUnknownStore => {
+            let version = tenure.stage.version.unwrap_or_default().next();
+            stored(&mut tenure, version, context);
+        }
+        StoreReply::Unknown => {
+            if let Some(commit) = &mut tenure.stage.commit {
+                commit.read_at = Some(context.now);
+            }
+            flush(&mut tenure, context);
+        }
+    }
+    Ok(ShardEntry::Holding(Box::new(tenure)))
+}
+
+/// Finds out whether an unanswered write took effect.
+pub(crate) fn commit_read(
+    mut tenure: ShardTenure<Holding>,
+    reply: ReadReply<ShardObject>,
+    context: &mut OwnerContext<'_>,
+) -> Result<ShardEntry, Box<ShardTenure<Holding>>> {
+    let retry_at = context.now + context.settings.commit_gap;
+    match (&mut tenure.stage.commit, reply) {
+        (None, _) => {}
+        (Some(_), ReadReply::Found(found)) => return resolve(tenure, found, context),
+        (Some(commit), ReadReply::Unavailable) => commit.read_at = Some(retry_at),
+        (Some(_), ReadReply::Missing) => {
+            if tenure.stage.version.is_some() {
+                return Err(Box::new(tenure));
+            }
+            retry(&mut tenure.stage, context.now);
+        }
+    }
+    Ok(ShardEntry::Holding(Box::new(tenure)))
+}
+
+/// Compares the stored object with the write on its way.
+fn resolve(
+    mut tenure: ShardTenure<Holding>,
+    found: VersionedObject<ShardObject>,
+    context: &mut OwnerContext<'_>,
+) -> Result<ShardEntry, Box<ShardTenure<Holding>>> {
+    let stage = &mut tenure.stage;
+    let own = context.is_own(&found.value) && found.value.term == stage.term;
+    let write = stage.commit.as_ref().map(|commit| commit.write);
+    if own && write == Some(found.value.write) {
+        stored(&mut tenure, found.version, context);
+    } else if own || stage.version == Some(found.version) {
+        // Not stored yet, or an earlier write of this VM came late.
+        stage.version = Some(found.version);
+        retry(stage, context.now);
+    } else if stage.version > Some(found.version) {
+        // A read that was answered late.
+        if let Some(commit) = &mut stage.commit {
+            commit.read_at = Some(context.now + context.settings.commit_gap);
+        }
+    } else {
+        return Err(Box::new(tenure));
+    }
+    Ok(ShardEntry::Holding(Box::new(tenure)))
+}
+
+fn retry(stage: &mut Holding, now: LocalTime) {
+    stage.commit = None;
+    stage.dirty_since.get_or_insert(now);
+}
+
+fn stored(
+    tenure: &mut ShardTenure<Holding>,
+    version: ObjectVersion,
+    context: &mut OwnerContext<'_>,
+) {
+    let stage = &mut tenure.stage;
+    let Some(commit) = stage.commit.take() else {
+        return;
+    };
+    stage.version = Some(version);
+    stage.activated = true;
+    stage.flushed = commit.covers;
+    keep_silence(stage, commit.replicas);
+    stage.copies_count = !stage.replicas.is_empty();
+    let durable: Vec<ClaimKey> = stage
+        .pending
+        .iter()
+        .filter(|key| stage.active[key].sequence <= commit.covers)
+        .copied()
+        .collect();
+    for key in durable {
+        made_durable(tenure, key, context);
+    }
+    settle_flushed(&mut tenure.stage, context);
+    tenure.stage.next_resend = context.now;
+    super::copying::resend_copies(tenure, context);
+}
+
+fn keep_silence(stage: &mut Holding, replicas: Vec<ReplicaSlot>) {
+    let known: BTreeMap<_, _> = stage
+        .replicas
+        .drain(..)
+        .map(|slot| ((slot.vm, slot.incarnation), slot.silent_since))
+        .collect();
+    let same_set = known.len() == replicas.len()
+        && replicas
+            .iter()
+            .all(|slot| known.contains_key(&(slot.vm.clone(), slot.incarnation)));
+    if !same_set {
+        for record in stage.active.values_mut() {
+            record.copied_to.clear();
+        }
+    }
+    stage.replicas = replicas;
+    for slot in &mut stage.replicas {
+        let same = known.get(&(slot.vm.clone(), slot.incarnation));
+        slot.silent_since = same.copied().flatten();
+    }
+}
+
+/// Keeps ended and stored claims as compact records.
+fn settle_flushed(stage: &mut Holding, context: &OwnerContext<'_>) {
+    let ended: Vec<ClaimKey> = stage
+        .active
+        .iter()
+        .filter(|(_, record)| record.sequence <= stage.flushed && record.durable)
+        .filter(|(_, record)| {
+            matches!(
+                record.state,
+                ActiveState::Unknown | ActiveState::Answered(None)
+            )
+        })
+        .map(|(key, _)| *key)
+        .collect();
+    for key in ended {
+        let record = settle(stage, &key, context);
+        stage.active.remove(&key);
+        stage.settled.insert(key, record);
+    }
+}
+
+/// Returns whether nothing of the shard is missing from the platform.
+pub(crate) fn release_done(stage: &Holding) -> bool {
+    stage.closing
+        && stage.activated
+        && stage.commit.is_none()
+        && stage.replicas.is_empty()
+        && stage.flushed == stage.sequence
+}
+
+/// Starts again after another owner wrote the object.
+pub(crate) fn deposed(tenure: &ShardTenure<Holding>, context: &mut OwnerContext<'_>) -> ShardEntry {
+    start(tenure.shard, context)
+}
--- /dev/null
+++ b/crates/clementinepond_decide/src/claim/owner/granting.rs
@@ -0,0 +1,446 @@
+//! Answers to calls and reports on runs.
+
+use super::copying::copy_one;
+use super::shard::{ActiveRecord, ActiveState, Holding, OwnerContext, SettledRecord, ShardTenure};
+use crate::claim::effect::{ClaimEffect, ClaimRefusal};
+use crate::claim::event::RunOutcome;
+use crate::claim::key::{BodyFingerprint, ClaimKey, KeyDate};
+use crate::claim::message::{ClaimMessage, OwnerReply, RunReport};
+use crate::claim::object::RUNNING_WIDTH;
+use crate::claim::record::RunHolder;
+use crate::claim::settings::ClaimMutation;
+use clementinepond_types::{LocalTime, TimeSpan, VmId};
+use std::collections::BTreeSet;
+
+/// Calls that are told at once when a run ends; others ask again.
+const WAITER_LIMIT: usize = 16;
+/// Time between two searches for records that are due.
+const SWEEP_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
+
+fn reply(to: &RunHolder, reply: OwnerReply, context: &mut OwnerContext<'_>) {
+    context.effects.push(ClaimEffect::Send {
+        to: to.vm.clone(),
+        message: ClaimMessage::Answer {
+            incarnation: to.incarnation,
+            ticket: to.ticket,
+            reply,
+        },
+    });
+}
+
+/// Answers a call.
+pub(crate) fn ask(
+    tenure: &mut ShardTenure<Holding>,
+    holder: RunHolder,
+    key: ClaimKey,
+    fingerprint: BodyFingerprint,
+    date: KeyDate,
+    time_left: TimeSpan,
+    context: &mut OwnerContext<'_>,
+) {
+    if tenure.stage.closing {
+        return;
+    }
+    let answer = match known_reply(&mut tenure.stage, &holder, key, fingerprint) {
+        Some(answer) => answer,
+        None => match admit(&mut tenure.stage, date, context) {
+            Some(reason) => Some(OwnerReply::Refused(reason)),
+            None => {
+                insert(
+                    tenure,
+                    holder.clone(),
+                    key,
+                    fingerprint,
+                    date,
+                    time_left,
+                    context,
+                );
+                None
+            }
+        },
+    };
+    if let Some(answer) = answer {
+        reply(&holder, answer, context);
+    }
+}
+
+/// Looks the key up; the outer `None` means that it is free.
+fn known_reply(
+    stage: &mut Holding,
+    holder: &RunHolder,
+    key: ClaimKey,
+    fingerprint: BodyFingerprint,
+) -> Option<Option<OwnerReply>> {
+    if let Some(record) = stage.active.get_mut(&key) {
+        if record.fingerprint != fingerprint {
+            let reason = ClaimRefusal::FingerprintMismatch;
+            return Some(Some(OwnerReply::Refused(reason)));
+        }
+        return Some(active_reply(record, holder));
+    }
+    let record = stage.settled.get(&key)?;
+    if record.fingerprint != fingerprint {
+        let reason = ClaimRefusal::FingerprintMismatch;
+        return Some(Some(OwnerReply::Refused(reason)));
+    }
+    let answer = if record.answered {
+        OwnerReply::Replay(None)
+    } else {
+        OwnerReply::Unknown
+    };
+    Some(Some(answer))
+}
+
+fn active_reply(record: &mut ActiveRecord, asker: &RunHolder) -> Option<OwnerReply> {
+    match &record.state {
+        ActiveState::Running { holder, .. } if holder == asker => {
+            record.durable.then_some(OwnerReply::Granted)
+        }
+        ActiveState::Running { .. } => {
+            if record.waiters.len() < WAITER_LIMIT && !record.waiters.contains(asker) {
+                record.waiters.push(asker.clone());
+            }
+            Some(OwnerReply::Joined)
+        }
+        ActiveState::Answered(answer) => Some(OwnerReply::Replay(answer.clone())),
+        ActiveState::Unknown => Some(OwnerReply::Unknown),
+    }
+}
+
+/// Returns the reason for which no new claim may be made, if there is one.
+fn admit(stage: &mut Holding, date: KeyDate, context: &OwnerContext<'_>) -> Option<ClaimRefusal> {
+    if is_quarantined(stage, date, context) {
+        return Some(ClaimRefusal::Quarantined);
+    }
+    if stage.object_size() + RUNNING_WIDTH <= context.settings.object_limit {
+        return None;
+    }
+    if context.settings.mutation == ClaimMutation::ForgetWhenFull {
+        let oldest = stage
+            .settled
+            .iter()
+            .min_by_key(|(_, record)| record.forget_at)
+            .map(|(key, _)| *key);
+        if let Some(key) = oldest {
+            stage.settled.remove(&key);
+            return None;
+        }
+    }
+    Some(ClaimRefusal::Full)
+}
+
+fn is_quarantined(stage: &Holding, date: KeyDate, context: &OwnerContext<'_>) -> bool {
+    let Some(quarantine) = stage.quarantine else {
+        return false;
+    };
+    if context.now >= quarantine.until {
+        return false;
+    }
+    // Two clocks take part: the one that dated the key and the one that read it.
+    let margin = context.settings.clock_margin + context.settings.clock_margin;
+    match date {
+        KeyDate::Past(age) => age + margin >= context.now.since(quarantine.since),
+        KeyDate::Undated | KeyDate::Future(_) => true,
+    }
+}
+
+fn insert(
+    tenure: &mut ShardTenure<Holding>,
+    holder: RunHolder,
+    key: ClaimKey,
+    fingerprint: BodyFingerprint,
+    date: KeyDate,
+    time_left: TimeSpan,
+    context: &mut OwnerContext<'_>,
+) {
+    let now = context.now;
+    let stage = &mut tenure.stage;
+    let sequence = stage.next_sequence(now);
+    let limit = context.settings.run_limit;
+    let record = ActiveRecord {
+        fingerprint,
+        dated: date.is_dated(),
+        sequence,
+        changed_at: now,
+        state: ActiveState::Running {
+            holder,
+            expiry: now + time_left + limit,
+        },
+        durable: false,
+        copied_to: BTreeSet::new(),
+        waiters: Vec::new(),
+        reporter: None,
+    };
+    stage.active.insert(key, record);
+    stage.pending.insert(key);
+    copy_one(tenure, key, context);
+    if context.settings.mutation == ClaimMutation::GrantBeforeDurable {
+        made_durable(tenure, key, context);
+    }
+}
+
+/// Grants a claim, or confirms a report, that can no longer be lost.
+pub(crate) fn made_durable(
+    tenure: &mut ShardTenure<Holding>,
+    key: ClaimKey,
+    context: &mut OwnerContext<'_>,
+) {
+    let stage = &mut tenure.stage;
+    if !stage.pending.remove(&key) {
+        return;
+    }
+    let Some(record) = stage.active.get_mut(&key) else {
+        return;
+    };
+    record.durable = true;
+    if let ActiveState::Running { holder, .. } = &record.state {
+        let holder = holder.clone();
+        reply(&holder, OwnerReply::Granted, context);
+    } else if let Some(reporter) = record.reporter.take() {
+        acknowledge(&reporter, context);
+    }
+}
+
+fn acknowledge(reporter: &RunHolder, context: &mut OwnerContext<'_>) {
+    context.effects.push(ClaimEffect::Send {
+        to: reporter.vm.clone(),
+        message: ClaimMessage::ReportAcknowledged {
+            incarnation: reporter.incarnation,
+            ticket: reporter.ticket,
+        },
+    });
+}
+
+/// Takes the report of a granted call.
+pub(crate) fn report(
+    tenure: &mut ShardTenure<Holding>,
+    holder: &RunHolder,
+    key: ClaimKey,
+    fingerprint: BodyFingerprint,
+    dated: bool,
+    report: RunReport,
+    context: &mut OwnerContext<'_>,
+) {
+    match report {
+        RunReport::NotRun => release(tenure, holder, key, context),
+        RunReport::Ended(outcome) => {
+            if !tenure.stage.closing {
+                end(tenure, holder, key, fingerprint, dated, outcome, context);
+            }
+        }
+    }
+}
+
+/// Frees a claim whose holder ran nothing.
+fn release(
+    tenure: &mut ShardTenure<Holding>,
+    reporter: &RunHolder,
+    key: ClaimKey,
+    context: &mut OwnerContext<'_>,
+) {
+    let any = context.settings.mutation == ClaimMutation::ReleaseAnyHolder;
+    let stage = &mut tenure.stage;
+    let held = stage.active.get(&key).is_some_and(|record| {
+        matches!(&record.state, ActiveState::Running { holder, .. } if holder == reporter || any)
+    });
+    if held {
+        free(stage, key, context.now);
+    }
+    acknowledge(reporter, context);
+}
+
+fn free(stage: &mut Holding, key: ClaimKey, now: LocalTime) {
+    stage.next_sequence(now);
+    stage.active.remove(&key);
+    stage.pending.remove(&key);
+}
+
+fn end(
+    tenure: &mut ShardTenure<Holding>,
+    holder: &RunHolder,
+    key: ClaimKey,
+    fingerprint: BodyFingerprint,
+    dated: bool,
+    outcome: RunOutcome,
+    context: &mut OwnerContext<'_>,
+) {
+    let state = match outcome {
+        RunOutcome::Answered(answer) => ActiveState::Answered(answer),
+        RunOutcome::Unknown => ActiveState::Unknown,
+    };
+    if is_final(&tenure.stage, key, &state) {
+        if tenure.stage.pending.contains(&key) {
+            if let Some(record) = tenure.stage.active.get_mut(&key) {
+                record.reporter = Some(holder.clone());
+            }
+        } else {
+            acknowledge(holder, context);
+        }
+        return;
+    }
+    change(
+        tenure,
+        key,
+        fingerprint,
+        dated,
+        state,
+        Some(holder.clone()),
+        context,
+    );
+}
+
+/// Returns whether the stored outcome is at least as certain as a new one.
+fn is_final(stage: &Holding, key: ClaimKey, new: &ActiveState) -> bool {
+    let known = match stage.active.get(&key).map(|record| &record.state) {
+        Some(ActiveState::Answered(_)) => return true,
+        Some(ActiveState::Unknown) => Some(false),
+        Some(ActiveState::Running { .. }) => None,
+        None => stage.settled.get(&key).map(|record| record.answered),
+    };
+    match known {
+        Some(true) => true,
+        Some(false) => matches!(new, ActiveState::Unknown),
+        None => false,
+    }
+}
+
+/// Sets the outcome of a claim, copies it and tells who waits for it.
+fn change(
+    tenure: &mut ShardTenure<Holding>,
+    key: ClaimKey,
+    fingerprint: BodyFingerprint,
+    dated: bool,
+    state: ActiveState,
+    reporter: Option<RunHolder>,
+    context: &mut OwnerContext<'_>,
+) {
+    let stage = &mut tenure.stage;
+    let sequence = stage.next_sequence(context.now);
+    stage.settled.remove(&key);
+    let waiters = stage
+        .active
+        .remove(&key)
+        .map_or_else(Vec::new, |record| record.waiters);
+    let answer = match &state {
+        ActiveState::Answered(answer) => OwnerReply::Replay(answer.clone()),
+        ActiveState::Running { .. } | ActiveState::Unknown => OwnerReply::Unknown,
+    };
+    for waiter in &waiters {
+        reply(waiter, answer.clone(), context);
+    }
+    let record = ActiveRecord {
+        fingerprint,
+        dated,
+        sequence,
+        changed_at: context.now,
+        state,
+        durable: false,
+        copied_to: BTreeSet::new(),
+        waiters: Vec::new(),
+        reporter,
+    };
+    stage.keep_answer(key, &record);
+    stage.active.insert(key, record);
+    stage.pending.insert(key);
+    drop_answers(stage, context);
+    copy_one(tenure, key, context);
+}
+
+/// Drops the oldest answers beyond the budget.
+fn drop_answers(stage: &mut Holding, context: &OwnerContext<'_>) {
+    while stage.answer_bytes > context.settings.answer_budget {
+        let Some((sequence, key)) = stage.answers.pop_first() else {
+            return;
+        };
+        if let Some(record) = stage.active.get_mut(&key)
+            && record.sequence == sequence
+            && let ActiveState::Answered(answer) = &mut record.state
+        {
+            let size = answer.take().map_or(0, |answer| answer.size());
+            stage.answer_bytes = stage.answer_bytes.saturating_sub(size);
+        }
+    }
+}
+
+/// Ends runs without report and forgets records beyond retention.
+pub(crate) fn sweep(tenure: &mut ShardTenure<Holding>, context: &mut OwnerContext<'_>) {
+    let now = context.now;
+    if now < tenure.stage.next_sweep {
+        return;
+    }
+    tenure.stage.next_sweep = now + SWEEP_INTERVAL;
+    let expired = running_keys(&tenure.stage, |_, expiry| now >= expiry);
+    for key in expired {
+        lose(tenure, key, context);
+    }
+    let stage = &mut tenure.stage;
+    let is_kept = |record: &SettledRecord| record.forget_at > now;
+    stage.settled.retain(|_, record| is_kept(record));
+    let settings = context.settings;
+    let is_over = |record: &ActiveRecord| {
+        !matches!(record.state, ActiveState::Running { .. })
+            && record.durable
+            && record.changed_at + settings.kept_for(record.dated) <= now
+    };
+    let over: Vec<ActiveRecord> = stage
+        .active
+        .extract_if(.., |_, record| is_over(record))
+        .map(|(_, record)| record)
+        .collect();
+    for record in &over {
+        stage.drop_answer(record);
+    }
+    if stage
+        .quarantine
+        .is_some_and(|quarantine| now >= quarantine.until)
+    {
+        stage.quarantine = None;
+    }
+}
+
+fn running_keys(
+    stage: &Holding,
+    is_wanted: impl Fn(&RunHolder, LocalTime) -> bool,
+) -> Vec<ClaimKey> {
+    stage
+        .active
+        .iter()
+        .filter(|(_, record)| match &record.state {
+            ActiveState::Running { holder, expiry } => is_wanted(holder, *expiry),
+            _ => false,
+        })
+        .map(|(key, _)| *key)
+        .collect()
+}
+
+/// Ends the runs of a VM that left the roster.
+pub(crate) fn holder_lost(
+    tenure: &mut ShardTenure<Holding>,
+    vm: &VmId,
+    context: &mut OwnerContext<'_>,
+) {
+    for key in running_keys(&tenure.stage, |holder, _| holder.vm == *vm) {
+        lose(tenure, key, context);
+    }
+}
+
+/// Ends a run whose outcome will not be reported.
+fn lose(tenure: &mut ShardTenure<Holding>, key: ClaimKey, context: &mut OwnerContext<'_>) {
+    if context.settings.mutation == ClaimMutation::ForgetUnreportedRun {
+        free(&mut tenure.stage, key, context.now);
+        return;
+    }
+    let Some(record) = tenure.stage.active.get(&key) else {
+        return;
+    };
+    let (fingerprint, dated) = (record.fingerprint, record.dated);
+    change(
+        tenure,
+        key,
+        fingerprint,
+        dated,
+        ActiveState::Unknown,
+        None,
+        context,
+    );
+}
--- /dev/null
+++ b/crates/clementinepond_decide/src/claim/owner/taking.rs
@@ -0,0 +1,356 @@
+//! Takes a shard over from its former owner.
+
+use super::shard::{
+    ActiveRecord, ActiveState, Collecting, Holding, OwnerContext, Quarantine, Reading, ReplicaSlot,
+    ShardEntry, ShardTenure, WitnessProgress,
+};
+use crate::claim::effect::ClaimEffect;
+use crate::claim::key::{ClaimKey, ShardNumber};
+use crate::claim::message::{ClaimMessage, CollectedCopies, CopyRecord, CopyState};
+use crate::claim::object::{RunningRecord, ShardObject, ShardWitness, decode_batches};
+use crate::claim::record::VmIncarnation;
+use crate::claim::settings::ClaimMutation;
+use crate::port::{ReadReply, VersionedObject};
+use clementinepond_types::{LocalTime, TimeSpan, VmId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Copy timeouts that a new owner waits for replicas to enlist.
+const ENLIST_ROUNDS: u64 = 5;
+
+/// Begins with a read of the object.
+pub(crate) fn start(shard: ShardNumber, context: &mut OwnerContext<'_>) -> ShardEntry {
+    context.effects.push(ClaimEffect::Read { shard });
+    let stage = Reading {
+        read_at: context.now,
+        retry_at: LocalTime::NEVER,
+    };
+    ShardEntry::Reading(ShardTenure { shard, stage })
+}
+
+fn pause(shard: ShardNumber, context: &OwnerContext<'_>) -> ShardEntry {
+    let stage = Reading {
+        read_at: context.now,
+        retry_at: context.now + context.settings.commit_gap,
+    };
+    ShardEntry::Reading(ShardTenure { shard, stage })
+}
+
+/// Asks the witnesses of the former term once the object is known.
+pub(crate) fn read_replied(
+    tenure: ShardTenure<Reading>,
+    reply: ReadReply<ShardObject>,
+    context: &mut OwnerContext<'_>,
+) -> ShardEntry {
+    if tenure.stage.retry_at != LocalTime::NEVER {
+        return ShardEntry::Reading(tenure);
+    }
+    let found = match reply {
+        ReadReply::Found(found) => Some(found),
+        ReadReply::Missing => None,
+        ReadReply::Unavailable => return pause(tenure.shard, context),
+    };
+    let newer = found
+        .as_ref()
+        .is_some_and(|found| found.value.epoch > context.epoch);
+    if newer {
+        // A later roster gave the shard to another VM; wait for that roster.
+        return pause(tenure.shard, context);
+    }
+    let stage = collecting(found, tenure.stage.read_at, context);
+    taking_step(tenure.enter(stage), context)
+}
+
+fn collecting(
+    found: Option<VersionedObject<ShardObject>>,
+    read_at: LocalTime,
+    context: &OwnerContext<'_>,
+) -> Collecting {
+    let version = found.as_ref().map(|found| found.version);
+    let former = found.map(|found| found.value);
+    let term = former.as_ref().map_or(0, |former| former.term) + 1;
+    let witnesses = former
+        .iter()
+        .flat_map(|former| &former.witnesses)
+        .map(|witness| (witness.clone(), WitnessProgress::Waiting(None)))
+        .collect();
+    Collecting {
+        term,
+        version,
+        read_at,
+        former,
+        witnesses,
+        copies: BTreeMap::new(),
+        enlisted: BTreeMap::new(),
+        started_at: context.now,
+        next_send: context.now,
+    }
+}
+
+/// Repeats what is unanswered.
+pub(crate) fn taking_tick(entry: ShardEntry, context: &mut OwnerContext<'_>) -> ShardEntry {
+    match entry {
+        ShardEntry::Reading(tenure) if context.now >= tenure.stage.retry_at => {
+            start(tenure.shard, context)
+        }
+        ShardEntry::Collecting(tenure) => taking_step(*tenure, context),
+        other => other,
+    }
+}
+
+fn taking_step(mut tenure: ShardTenure<Collecting>, context: &mut OwnerContext<'_>) -> ShardEntry {
+    mark_gone(&mut tenure.stage, context);
+    if is_collected(&tenure.stage, context) && is_enlisted(&tenure.stage, context) {
+        return super::commit::activate(tenure, context);
+    }
+    if context.now >= tenure.stage.next_send {
+        send_collects(&mut tenure, context);
+    }
+    ShardEntry::Collecting(Box::new(tenure))
+}
+
+/// Counts processes as gone that this VM replaced or that left the roster.
+fn mark_gone(stage: &mut Collecting, context: &OwnerContext<'_>) {
+    for (witness, progress) in &mut stage.witnesses {
+        let replaced = witness.vm == *context.vm && witness.incarnation != context.incarnation;
+        let left = witness.vm != *context.vm && !context.others.contains(&witness.vm);
+        if (replaced || left) && *progress != WitnessProgress::Complete {
+            *progress = WitnessProgress::Forgotten;
+        }
+    }
+}
+
+fn is_collected(stage: &Collecting, context: &OwnerContext<'_>) -> bool {
+    let progress = || stage.witnesses.values();
+    context.settings.mutation == ClaimMutation::SkipCollect
+        || progress().any(|one| *one == WitnessProgress::Complete)
+        || progress().all(|one| *one == WitnessProgress::Forgotten)
+}
+
+fn is_enlisted(stage: &Collecting, context: &OwnerContext<'_>) -> bool {
+    let wanted = context.settings.replica_count.min(context.others.len());
+    let wait = context.settings.copy_timeout.fraction(ENLIST_ROUNDS, 1);
+    stage.enlisted.len() >= wanted || context.now >= stage.started_at + wait
+}
+
+fn send_collects(tenure: &mut ShardTenure<Collecting>, context: &mut OwnerContext<'_>) {
+    let shard = tenure.shard;
+    let stage = &mut tenure.stage;
+    stage.next_send = context.now + context.settings.resend_interval;
+    let term = stage.term;
+    for (witness, progress) in &stage.witnesses {
+        if let WitnessProgress::Waiting(after) = progress {
+            let message = ClaimMessage::Collect {
+                shard,
+                term,
+                former: stage.former.as_ref().map_or(0, |former| former.term),
+                incarnation: witness.incarnation,
+                after: *after,
+            };
+            let to = witness.vm.clone();
+            context.effects.push(ClaimEffect::Send { to, message });
+        }
+    }
+    for to in context.others.iter().take(context.settings.replica_count) {
+        if !stage.enlisted.contains_key(to) {
+            context.effects.push(ClaimEffect::Send {
+                to: to.clone(),
+                message: ClaimMessage::Enlist { shard, term },
+            });
+        }
+    }
+}
+
+/// Takes records of a witness.
+pub(crate) fn collected(
+    mut tenure: ShardTenure<Collecting>,
+    from: VmId,
+    incarnation: VmIncarnation,
+    after: Option<ClaimKey>,
+    copies: CollectedCopies,
+    context: &mut OwnerContext<'_>,
+) -> ShardEntry {
+    let witness = ShardWitness {
+        vm: from,
+        incarnation,
+    };
+    let stage = &mut tenure.stage;
+    let Some(progress) = stage.witnesses.get_mut(&witness) else {
+        return ShardEntry::Collecting(Box::new(tenure));
+    };
+    if *progress != WitnessProgress::Waiting(after) {
+        return ShardEntry::Collecting(Box::new(tenure));
+    }
+    match copies {
+        CollectedCopies::Forgotten => *progress = WitnessProgress::Forgotten,
+        CollectedCopies::Records { records, more } => {
+            let last = records.last().map(|record| record.key);
+            *progress = match last {
+                Some(last) if more => WitnessProgress::Waiting(Some(last)),
+                _ => WitnessProgress::Complete,
+            };
+            for record in records {
+                keep_most_final(&mut stage.copies, record);
+            }
+            stage.next_send = context.now;
+        }
+    }
+    taking_step(tenure, context)
+}
+
+fn finality(state: &CopyState) -> u8 {
+    match state {
+        CopyState::Released => 0,
+        CopyState::Running { .. } => 1,
+        CopyState::Unknown => 2,
+        CopyState::Answered(None) => 3,
+        CopyState::Answered(Some(_)) => 4,
+    }
+}
+
+fn keep_most_final(copies: &mut BTreeMap<ClaimKey, CopyRecord>, record: CopyRecord) {
+    let kept = copies.get(&record.key).map(|kept| finality(&kept.state));
+    if kept.is_none_or(|kept| kept < finality(&record.state)) {
+        copies.insert(record.key, record);
+    }
+}
+
+/// Builds the owned shard from the object and the witnesses' records.
+pub(crate) fn assemble(stage: Collecting, context: &OwnerContext<'_>) -> Holding {
+    let now = context.now;
+    let lost = !stage.witnesses.is_empty()
+        && stage
+            .witnesses
+            .values()
+            .all(|one| *one == WitnessProgress::Forgotten);
+    let mut holding = Holding {
+        term: stage.term,
+        version: stage.version,
+        replicas: Vec::new(),
+        enlisted: stage.enlisted,
+        activated: false,
+        copies_count: false,
+        active: BTreeMap::new(),
+        pending: BTreeSet::new(),
+        answers: BTreeMap::new(),
+        answer_bytes: 0,
+        settled: BTreeMap::new(),
+        sequence: 0,
+        flushed: 0,
+        dirty_since: Some(now),
+        last_write_at: LocalTime::ORIGIN,
+        commit: None,
+        quarantine: quarantine(stage.former.as_ref(), stage.read_at, lost, context),
+        next_sweep: now,
+        next_resend: now,
+        closing: false,
+    };
+    if let Some(former) = stage.former {
+        holding.settled = decode_batches(&former.batches, stage.read_at);
+        for record in former.running {
+            let copy = running_copy(record, now.since(stage.read_at));
+            adopt(&mut holding, copy, context);
+        }
+    }
+    for (key, copy) in stage.copies {
+        if adds_knowledge(&holding, &copy) {
+            let copy = without_doubt(&holding, copy);
+            holding.active.remove(&key);
+            adopt(&mut holding, copy, context);
+        }
+    }
+    holding
+}
+
+fn adds_knowledge(holding: &Holding, copy: &CopyRecord) -> bool {
+    match holding.settled.get(&copy.key) {
+        Some(settled) if settled.answered => matches!(copy.state, CopyState::Answered(Some(_))),
+        Some(_) => matches!(copy.state, CopyState::Answered(_)),
+        None => true,
+    }
+}
+
+/// Makes a claim unknown when the object and the copy name different holders.
+///
+/// Either may be the later one, and a release by the earlier must not free it.
+fn without_doubt(holding: &Holding, mut copy: CopyRecord) -> CopyRecord {
+    let stored = holding.active.get(&copy.key).map(|record| &record.state);
+    if let Some(ActiveState::Running { holder: stored, .. }) = stored
+        && let CopyState::Running { holder, .. } = &copy.state
+        && holder != stored
+    {
+        copy.state = CopyState::Unknown;
+    }
+    copy
+}
+
+fn running_copy(record: RunningRecord, passed: TimeSpan) -> CopyRecord {
+    CopyRecord {
+        key: record.key,
+        fingerprint: record.fingerprint,
+        dated: record.dated,
+        sequence: 0,
+        state: CopyState::Running {
+            holder: record.holder,
+            time_left: record.time_left.saturating_sub(passed),
+        },
+    }
+}
+
+fn quarantine(
+    former: Option<&ShardObject>,
+    read_at: LocalTime,
+    lost: bool,
+    context: &OwnerContext<'_>,
+) -> Option<Quarantine> {
+    let since = context.now;
+    if lost {
+        let until = since + context.settings.kept_for(false);
+        return Some(Quarantine { since, until });
+    }
+    let left = former.map_or(TimeSpan::ZERO, |former| former.quarantine_left);
+    let until = read_at + left;
+    (left > TimeSpan::ZERO).then_some(Quarantine { since, until })
+}
+
+fn adopt(holding: &mut Holding, copy: CopyRecord, context: &OwnerContext<'_>) {
+    let state = match copy.state {
+        CopyState::Released => return,
+        CopyState::Running { holder, time_left } => ActiveState::Running {
+            holder,
+            expiry: context.now + time_left,
+        },
+        CopyState::Answered(answer) => ActiveState::Answered(answer),
+        CopyState::Unknown => ActiveState::Unknown,
+    };
+    holding.settled.remove(&copy.key);
+    let sequence = holding.next_sequence(context.now);
+    let record = ActiveRecord {
+        fingerprint: copy.fingerprint,
+        dated: copy.dated,
+        sequence,
+        changed_at: context.now,
+        state,
+        durable: false,
+        copied_to: BTreeSet::new(),
+        waiters: Vec::new(),
+        reporter: None,
+    };
+    holding.keep_answer(copy.key, &record);
+    holding.active.insert(copy.key, record);
+    holding.pending.insert(copy.key);
+}
+
+/// Chooses replicas among the VMs that enlisted.
+pub(crate) fn choose_replicas(
+    enlisted: &BTreeMap<VmId, VmIncarnation>,
+    context: &OwnerContext<'_>,
+) -> Vec<ReplicaSlot> {
+    let chosen = context.others.iter().filter_map(|vm| {
+        enlisted.get(vm).map(|&incarnation| ReplicaSlot {
+            vm: vm.clone(),
+            incarnation,
+            silent_since: None,
+        })
+    });
+    chosen.take(context.settings.replica_count).collect()
+}
