--- /dev/null
+++ b/crates/clementinepond_decide/src/plan/demand.rs
@@ -0,0 +1,76 @@
+//! Forecast of one model's demand.
+//!
+//! The level follows observations at once on the way up and slowly on the way
+//! down; the trend looks ahead by about the time that a load takes to help.
+
+use super::ComputeLoad;
+use super::planner::PlannerTuning;
+use clementinepond_types::LocalTime;
+
+/// Forecast of one model's demand.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct DemandForecast {
+    level: f64,
+    trend_a_second: f64,
+    held: f64,
+    observed_at: LocalTime,
+}
+
+impl DemandForecast {
+    /// Starts from a first observation.
+    #[must_use]
+    pub fn new(load: ComputeLoad, now: LocalTime) -> Self {
+        let level = to_float(load);
+        Self {
+            level,
+            trend_a_second: 0.0,
+            held: level,
+            observed_at: now,
+        }
+    }
+
+    /// Takes in an observation.
+    pub fn observe(&mut self, load: ComputeLoad, now: LocalTime, tuning: &PlannerTuning) {
+        let elapsed = seconds(now.since(self.observed_at).micros());
+        if elapsed <= 0.0 {
+            return;
+        }
+        let observed = to_float(load);
+        let weight = smoothing(elapsed, seconds(tuning.level_time.micros()));
+        let earlier = self.level;
+        self.level += weight * (observed - self.level);
+        let slope = (self.level - earlier) / elapsed;
+        let weight = smoothing(elapsed, seconds(tuning.trend_time.micros()));
+        self.trend_a_second += weight * (slope - self.trend_a_second);
+        let decay = smoothing(elapsed, seconds(tuning.hold_time.micros()));
+        self.held = self.level.max(self.held + decay * (self.level - self.held));
+        self.observed_at = now;
+    }
+
+    /// Returns the load to prepare for.
+    #[must_use]
+    pub fn expected(&self, tuning: &PlannerTuning) -> f64 {
+        let ahead = self.level + self.trend_a_second * seconds(tuning.look_ahead.micros());
+        ahead.max(self.level)
+    }
+
+    /// Returns the load below which copies count as unused.
+    #[must_use]
+    pub fn held(&self) -> f64 {
+        self.held
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "loads are far below 2^52")]
+fn to_float(load: ComputeLoad) -> f64 {
+    load.milli() as f64
+}
+
+#[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52 us")]
+fn seconds(micros: u64) -> f64 {
+    micros as f64 / 1e6
+}
+
+fn smoothing(elapsed: f64, time: f64) -> f64 {
+    1.0 - (-elapsed / time.max(0.001)).exp()
+}
--- /dev/null
+++ b/crates/clementinepond_decide/src/plan/draining.rs
@@ -0,0 +1,77 @@
+//! From the withdrawal of a copy to its unload.
+//!
+//! A copy is first withdrawn from routing and unloaded only after the drain
+//! time. Just before the unload the last-copy rule is checked again; a copy
+//! that has become the last one is given back to routing.
+
+use super::view::{has_other_ready, required_here};
+use super::{EndpointAction, HoldingKey, PlanMutation, PlanState, writing};
+use clementinepond_types::{EndpointId, LocalTime};
+
+/// Withdraws a copy from routing.
+pub(super) fn begin(state: &mut PlanState, endpoint: &EndpointId, key: HoldingKey, now: LocalTime) {
+    let drain = state.settings.drain;
+    if let Some(entry) = state.endpoints.get_mut(endpoint) {
+        entry.draining.entry(key).or_insert(now + drain);
+    }
+}
+
+/// Orders the unloads that are due.
+pub(super) fn finish(state: &mut PlanState, now: LocalTime) {
+    let drained: Vec<(EndpointId, HoldingKey, LocalTime)> = state
+        .endpoints
+        .iter()
+        .flat_map(|(endpoint, entry)| {
+            entry
+                .draining
+                .iter()
+                .map(|(key, due)| (endpoint.clone(), key.clone(), *due))
+        })
+        .collect();
+    for (endpoint, key, due) in drained {
+        if !is_dispensable(state, &endpoint, &key, now) {
+            if let Some(entry) = state.endpoints.get_mut(&endpoint) {
+                entry.draining.remove(&key);
+            }
+        } else if now >= due {
+            unload(state, &endpoint, &key);
+        }
+    }
+}
+
+fn is_dispensable(
+    state: &PlanState,
+    endpoint: &EndpointId,
+    key: &HoldingKey,
+    now: LocalTime,
+) -> bool {
+    let settings = &state.settings;
+    let is_unguarded = settings.mutated(PlanMutation::LastCopyUnprotected)
+        || settings.mutated(PlanMutation::UnloadBeforeReady);
+    let HoldingKey::Model(model, _) = key else {
+        return true;
+    };
+    is_unguarded
+        || !state.catalogue.models.contains_key(model)
+        || required_here(state, model) == 0
+        || has_other_ready(state, endpoint, key, now)
+}
+
+fn unload(state: &mut PlanState, endpoint: &EndpointId, key: &HoldingKey) {
+    let Some(entry) = state.endpoints.get_mut(endpoint) else {
+        return;
+    };
+    if !writing::may_order(&state.phase, entry) || !entry.settled || entry.ledger.may_unload(key) {
+        return;
+    }
+    let action = match key {
+        HoldingKey::Model(model, version) => EndpointAction::UnloadModel {
+            model: model.clone(),
+            version: version.clone(),
+        },
+        HoldingKey::Adapter(adapter) => EndpointAction::UnloadAdapter {
+            adapter: adapter.clone(),
+        },
+    };
+    writing::stage(state, endpoint, action, "drained".into());
+}
--- a/crates/clementinepond_decide/src/plan/mod.rs
+++ b/crates/clementinepond_decide/src/plan/mod.rs
@@ -1,1 +1,61 @@
 //! Placement: which models and adapters each endpoint holds.
+//!
+//! One VM of a data centre holds the *plan lease*, an object of kind `plan`
+//! on the platform. The lease's epoch is the fencing number of every order.
+//! The holder writes each order into the object before it sends the order, so
+//! that the next holder knows every order that may still take effect.
+//!
+//! For each endpoint the holder keeps its *possible memory*: what the
+//! endpoint reported and every load that may still take effect. The answer to
+//! an order proves nothing, since a copy of the order may still be under way;
+//! a reservation ends only by a report that is newer than the last moment at
+//! which the order could arrive. Such a report is one that names an order
+//! issued after that moment, which the reducer calls a *barrier*.
+//!
+//! The planner is a pure function from the view of all endpoints to moves.
+
+mod catalogue;
+mod compute_load;
+mod demand;
+mod draining;
+mod effect;
+mod event;
+mod fleet;
+mod intake;
+mod lease;
+mod ledger;
+mod object;
+mod order;
+pub mod planner;
+mod reduce;
+mod report;
+mod settings;
+mod state;
+mod status;
+mod upkeep;
+mod view;
+mod writing;
+
+pub use catalogue::{
+    AdapterSpec, ExceptionRule, ModelSpec, PlacementCatalogue, PlacementException, StoreShare,
+};
+pub use compute_load::ComputeLoad;
+pub use demand::DemandForecast;
+pub use effect::PlanEffect;
+pub use event::{EndpointSpec, OrderReply, PlanEvent};
+pub use fleet::EndpointEntry;
+pub use lease::{
+    Acquiring, Follower, Holding, LeasePhase, LeaseTerm, PendingWrite, PlanLease, SeenObject,
+    Waiting,
+};
+pub use ledger::{EndpointLedger, PossibleOrder};
+pub use object::{OrderIntent, PlacementGoal, PlanObject, WriteId};
+pub use order::{EndpointAction, EndpointRole, OrderNumber};
+pub use reduce::reduce;
+pub use report::{
+    AdapterReport, EndpointReport, HoldingKey, Incarnation, ModelReport, ModelState, ModelVersion,
+    ReportNumber,
+};
+pub use settings::{PlanMutation, PlanSettings};
+pub use state::PlanState;
+pub use status::{PendingOrder, PlanStatus, RecentMove};
--- /dev/null
+++ b/crates/clementinepond_decide/src/plan/planner/tuning.rs
@@ -0,0 +1,54 @@
+//! Weights of the planner.
+
+use crate::plan::ComputeLoad;
+use clementinepond_types::TimeSpan;
+use serde::{Deserialize, Serialize};
+
+/// Weights of the planner.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(default)]
+pub struct PlannerTuning {
+    /// Share of the forecast to provide for, in hundredths.
+    pub headroom_percent: u32,
+    /// Capacity lost for each further busy model on an endpoint, in hundredths.
+    pub interference_percent: u32,
+    /// Smallest gain of one load.
+    pub smallest_gain: ComputeLoad,
+    /// Smallest further gain for each unload.
+    pub unload_cost: ComputeLoad,
+    /// Gain over the loss that a replacement must bring, in hundredths.
+    pub gain_over_loss_percent: u32,
+    /// Most loads considered in one plan.
+    pub picks: u32,
+    /// Loads for which room may be made ahead of the weight store.
+    pub pipeline: u32,
+    /// Copies of each model that are kept where room is free.
+    pub free_copies: u32,
+    /// Time constant of the level of demand.
+    pub level_time: TimeSpan,
+    /// Time constant of the trend of demand.
+    pub trend_time: TimeSpan,
+    /// Time for which a past level still counts when copies are removed.
+    pub hold_time: TimeSpan,
+    /// How far the forecast looks ahead.
+    pub look_ahead: TimeSpan,
+}
+
+impl Default for PlannerTuning {
+    fn default() -> Self {
+        Self {
+            headroom_percent: 115,
+            interference_percent: 3,
+            smallest_gain: ComputeLoad::from_milli(50),
+            unload_cost: ComputeLoad::from_milli(50),
+            gain_over_loss_percent: 150,
+            picks: 8,
+            pipeline: 3,
+            free_copies: 1,
+            level_time: TimeSpan::from_secs(15),
+            trend_time: TimeSpan::from_secs(60),
+            hold_time: TimeSpan::from_secs(300),
+            look_ahead: TimeSpan::from_secs(60),
+        }
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_decide/src/plan/reduce.rs
@@ -0,0 +1,102 @@
+//! From an event to effects.
+
+use super::{
+    DemandForecast, EndpointEntry, EndpointReport, EndpointSpec, OrderNumber, OrderReply,
+    PlacementCatalogue, PlanEffect, PlanEvent, PlanMutation, PlanState, intake, upkeep,
+};
+use clementinepond_types::{EndpointId, LocalTime};
+
+/// Takes in one event.
+pub fn reduce(state: &mut PlanState, event: PlanEvent, now: LocalTime) -> Vec<PlanEffect> {
+    match event {
+        PlanEvent::Tick { seed } => return upkeep::tick(state, seed, now),
+        PlanEvent::ReadReplied { reply } => return intake::read_replied(state, reply, now),
+        PlanEvent::StoreReplied { write, reply } => {
+            return intake::store_replied(state, write, reply, now);
+        }
+        PlanEvent::Release => return upkeep::release(state, now),
+        PlanEvent::ReportReceived { report } => take_report(state, report, now),
+        PlanEvent::EndpointListed { endpoint, spec } => list_endpoint(state, endpoint, spec),
+        PlanEvent::EndpointGone { endpoint } => drop_endpoint(state, &endpoint),
+        PlanEvent::CatalogueChanged { catalogue } => take_catalogue(state, *catalogue),
+        PlanEvent::DemandObserved { model, load } => {
+            let tuning = &state.settings.tuning;
+            state
+                .forecasts
+                .entry(model)
+                .and_modify(|forecast| forecast.observe(load, now, tuning))
+                .or_insert_with(|| DemandForecast::new(load, now));
+        }
+        PlanEvent::PeersObserved { ready } => state.peers = ready,
+        PlanEvent::RosterChanged { members } => state.members = members,
+        PlanEvent::OrderReplied {
+            endpoint,
+            number,
+            reply,
+        } => take_order_reply(state, &endpoint, number, reply),
+    }
+    Vec::new()
+}
+
+fn take_report(state: &mut PlanState, report: EndpointReport, now: LocalTime) {
+    let Some(entry) = state.endpoints.get_mut(&report.endpoint) else {
+        return;
+    };
+    if state.settings.mutated(PlanMutation::AcceptOldReports) {
+        entry.install(report, now);
+    } else {
+        entry.accept(report, now);
+    }
+    if state.settings.mutated(PlanMutation::ForgetCopies)
+        && let Some(report) = &entry.report
+    {
+        entry.ledger.forget_done(report);
+    }
+}
+
+fn list_endpoint(state: &mut PlanState, endpoint: EndpointId, spec: EndpointSpec) {
+    state
+        .endpoints
+        .entry(endpoint)
+        .and_modify(|entry| entry.spec = Some(spec))
+        .or_insert_with(|| EndpointEntry::new(spec));
+}
+
+/// Keeps the ledger of an endpoint that has gone, since it may come back
+/// while orders to it still travel.
+fn drop_endpoint(state: &mut PlanState, endpoint: &EndpointId) {
+    if let Some(entry) = state.endpoints.get_mut(endpoint) {
+        entry.spec = None;
+        entry.report = None;
+        entry.draining.clear();
+        entry.unsettle();
+    }
+}
+
+fn take_catalogue(state: &mut PlanState, catalogue: PlacementCatalogue) {
+    for (adapter, spec) in &catalogue.adapters {
+        // The larger size counts until no copy of the smaller one is left.
+        let memory = state.adapter_memory.entry(adapter.clone()).or_default();
+        *memory = (*memory).max(spec.memory_mib);
+    }
+    state
+        .forecasts
+        .retain(|model, _| catalogue.models.contains_key(model));
+    state.catalogue = catalogue;
+}
+
+/// An answer proves nothing about copies of the order that still travel.
+fn take_order_reply(
+    state: &mut PlanState,
+    endpoint: &EndpointId,
+    number: OrderNumber,
+    reply: OrderReply,
+) {
+    let is_mutated = state.settings.mutated(PlanMutation::ReleaseOnAck);
+    if is_mutated
+        && reply != OrderReply::Unknown
+        && let Some(entry) = state.endpoints.get_mut(endpoint)
+    {
+        entry.ledger.forget(number);
+    }
+}
