--- a/crates/clementinepond_daemon/src/caller/inference.rs
+++ b/crates/clementinepond_daemon/src/caller/inference.rs
@@ -14,8 +14,6 @@
 use salvo::{Depot, Request, Response, handler};
 use serde_json::json;
 
-/// Bytes of a prompt that the prefix cache is keyed by.
-const PREFIX_LENGTH_BYTES: usize = 256;
 const CHAT_PATH: &str = "/v1/chat/completions";
 const COMPLETION_PATH: &str = "/v1/completions";
 
@@ -132,7 +130,7 @@
         repeatable: is_repeatable,
         idempotency: idempotency.map(IdempotencyKey),
         fingerprint: fingerprint(lookup.account.as_str(), call.model.as_str(), body),
-        prefix: Some(prefix_hash(&call.prompt)),
+        prefix: Some(PrefixHash::of_prompt(&call.prompt)),
         prompt_tokens: call.prompt_tokens,
         admission_deadline: now + state.request.admission_wait,
         deadline: now + state.request.total_timeout,
@@ -148,12 +146,3 @@
     }
     *hasher.finalize().as_bytes()
 }
-
-fn prefix_hash(prompt: &str) -> PrefixHash {
-    let bytes = prompt.as_bytes();
-    let head = &bytes[..bytes.len().min(PREFIX_LENGTH_BYTES)];
-    let hash = blake3::hash(head);
-    let mut word = [0; 8];
-    word.copy_from_slice(&hash.as_bytes()[..8]);
-    PrefixHash::new(u64::from_le_bytes(word))
-}
--- a/crates/clementinepond_decide/src/route/prefix_index.rs
+++ b/crates/clementinepond_decide/src/route/prefix_index.rs
@@ -5,8 +5,13 @@
 //! prefill time, never a wrong answer.
 
 use derive_more::{Display, FromStr};
+use fnv::FnvHasher;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::Hasher;
+
+/// Bytes of a prompt that the prefix cache is keyed by.
+const PREFIX_LENGTH_BYTES: usize = 256;
 
 /// Hash of the first bytes of a prompt.
 #[derive(
@@ -21,6 +26,15 @@
     pub const fn new(hash: u64) -> Self {
         Self(hash)
     }
+
+    /// Hashes the first 256 bytes of a prompt, as engines do.
+    #[must_use]
+    pub fn of_prompt(prompt: &str) -> Self {
+        let bytes = prompt.as_bytes();
+        let mut hasher = FnvHasher::default();
+        hasher.write(&bytes[..bytes.len().min(PREFIX_LENGTH_BYTES)]);
+        Self(hasher.finish())
+    }
 }
 
 /// Bounded set of cached prefixes, oldest dropped first.
