--- /dev/null
+++ b/crates/clementinepond_decide/src/configuration/content.rs
@@ -0,0 +1,204 @@
+//! Taking in versions and passing them on.
+
+use super::spread::{branches, rotated};
+use super::state::AskedVersion;
+use super::{
+    ConfigurationDigest, ConfigurationEffect, ConfigurationMessage, ConfigurationMutation,
+    ConfigurationState, ContentDelta, ContentDigest, ContentUpdate,
+};
+use crate::port::VersionedObject;
+use clementinepond_types::{LocalTime, ObjectVersion, VmId};
+
+/// Takes in a version, unless it is not newer; returns whether it was.
+pub(super) fn adopt(state: &mut ConfigurationState, object: VersionedObject<Box<str>>) -> bool {
+    let is_newer = object.version > state.newest_version();
+    if !is_newer && !state.mutated(ConfigurationMutation::AcceptOlder) {
+        return false;
+    }
+    state.newest_digest = Some(ContentDigest::of(&object.value));
+    state.confirmed = None;
+    if let Some(before) = state.newest.replace(object) {
+        state.history.push_front(before);
+        state.history.truncate(state.settings.history);
+    }
+    true
+}
+
+/// Offers the newest version to the edge, once.
+pub(super) fn offer(
+    state: &mut ConfigurationState,
+    now: LocalTime,
+    effects: &mut Vec<ConfigurationEffect>,
+) {
+    let waits = state.booting
+        && now < state.boot_until
+        && !state.mutated(ConfigurationMutation::ApplyFirstHeard);
+    let Some(object) = &state.newest else {
+        return;
+    };
+    if waits || state.offered == Some(object.version) {
+        return;
+    }
+    state.booting = false;
+    state.offered = Some(object.version);
+    effects.push(ConfigurationEffect::Apply {
+        version: object.version,
+        text: object.value.clone(),
+    });
+}
+
+/// Sends the newest version to all members of the data centre.
+pub(super) fn push_to_members(state: &ConfigurationState, effects: &mut Vec<ConfigurationEffect>) {
+    let receivers = rotated(&state.local, &state.own, state.newest_version());
+    pass_on(state, &receivers, effects);
+}
+
+fn pass_on(state: &ConfigurationState, receivers: &[VmId], effects: &mut Vec<ConfigurationEffect>) {
+    let base = state.history.front().map(|object| object.version);
+    let Some(update) = update_from(state, base) else {
+        return;
+    };
+    for branch in branches(receivers, state.settings.fan_out) {
+        effects.push(ConfigurationEffect::Send {
+            to: branch.to,
+            message: ConfigurationMessage::Update {
+                version: state.newest_version(),
+                update: update.clone(),
+                subtree: branch.subtree,
+            },
+        });
+    }
+}
+
+/// Returns the newest version, as a difference where the base is kept.
+fn update_from(state: &ConfigurationState, base: Option<ObjectVersion>) -> Option<ContentUpdate> {
+    let newest = state.newest.as_ref()?;
+    let delta = state
+        .history
+        .iter()
+        .find(|object| Some(object.version) == base)
+        .and_then(|object| ContentDelta::between(object.version, &object.value, &newest.value));
+    Some(match delta {
+        Some(delta) => ContentUpdate::Delta(delta),
+        None => ContentUpdate::Whole {
+            text: newest.value.clone(),
+            digest: state.newest_digest?,
+        },
+    })
+}
+
+/// Takes in a version that a peer sent.
+pub(super) fn update_received(
+    state: &mut ConfigurationState,
+    from: &VmId,
+    version: ObjectVersion,
+    update: ContentUpdate,
+    subtree: &[VmId],
+    effects: &mut Vec<ConfigurationEffect>,
+) {
+    let is_older = version <= state.newest_version();
+    if is_older && !state.mutated(ConfigurationMutation::AcceptOlder) {
+        pass_on(state, subtree, effects);
+        return;
+    }
+    let Some(text) = text_of(state, update) else {
+        effects.push(ConfigurationEffect::Send {
+            to: from.clone(),
+            message: ConfigurationMessage::Request { have: None },
+        });
+        return;
+    };
+    let object = VersionedObject {
+        version,
+        value: text,
+    };
+    let is_asked = subtree.is_empty();
+    if !adopt(state, object) {
+        return;
+    }
+    if is_asked && state.relay {
+        push_to_members(state, effects);
+    } else {
+        pass_on(state, subtree, effects);
+    }
+}
+
+/// Returns the text of an update, when it matches its digest.
+fn text_of(state: &ConfigurationState, update: ContentUpdate) -> Option<Box<str>> {
+    match update {
+        ContentUpdate::Whole { text, digest } => {
+            let is_sound = ContentDigest::of(&text) == digest
+                || state.mutated(ConfigurationMutation::SkipDigestCheck);
+            is_sound.then_some(text)
+        }
+        ContentUpdate::Delta(delta) => {
+            let newest = state.newest.as_ref()?;
+            if newest.version != delta.base {
+                return None;
+            }
+            delta.apply(&newest.value)
+        }
+    }
+}
+
+/// Answers a peer that lacks the newest version.
+pub(super) fn answer_request(
+    state: &ConfigurationState,
+    from: VmId,
+    have: Option<ObjectVersion>,
+    effects: &mut Vec<ConfigurationEffect>,
+) {
+    if have == Some(state.newest_version()) {
+        return;
+    }
+    if let Some(update) = update_from(state, have) {
+        effects.push(ConfigurationEffect::Send {
+            to: from,
+            message: ConfigurationMessage::Update {
+                version: state.newest_version(),
+                update,
+                subtree: Vec::new(),
+            },
+        });
+    }
+}
+
+/// Compares a peer's digest and asks for what is lacking.
+pub(super) fn compare_versions(
+    state: &mut ConfigurationState,
+    from: &VmId,
+    digest: &ConfigurationDigest,
+    now: LocalTime,
+    effects: &mut Vec<ConfigurationEffect>,
+) {
+    if digest.version == state.newest_version() {
+        merge_age(state, digest.age_seconds, now);
+    }
+    let is_asked = state
+        .asked
+        .is_some_and(|asked| digest.version <= asked.version && now < asked.retry);
+    let is_lacking = digest.version > state.newest_version();
+    if !is_lacking || is_asked || state.mutated(ConfigurationMutation::SkipRepair) {
+        return;
+    }
+    state.asked = Some(AskedVersion {
+        version: digest.version,
+        retry: now + state.settings.retry_period,
+    });
+    effects.push(ConfigurationEffect::Send {
+        to: from.clone(),
+        message: ConfigurationMessage::Request {
+            have: state.newest.as_ref().map(|object| object.version),
+        },
+    });
+}
+
+fn merge_age(state: &mut ConfigurationState, age: Option<u16>, now: LocalTime) {
+    let Some(age) = age else {
+        return;
+    };
+    // One second more than told, since the peer rounds down.
+    let micros = (u64::from(age) + 1) * 1_000_000;
+    let at = LocalTime::from_micros(now.micros().saturating_sub(micros));
+    state.confirmed = state.confirmed.max(Some(at));
+}
--- /dev/null
+++ b/crates/clementinepond_decide/src/configuration/watch.rs
@@ -0,0 +1,167 @@
+//! The relay's watches, and the read after a start.
+
+use super::content::{adopt, push_to_members};
+use super::withdrawal::adopt_record;
+use super::{ConfigurationEffect, ConfigurationState, WithdrawalRecord};
+use crate::port::{ReadReply, VersionedObject};
+use crate::roster::WatchAnswer;
+use clementinepond_types::{LocalTime, ObjectVersion, TimeSpan};
+
+/// Time after which a watch without answer counts as lost.
+const WATCH_LIMIT: TimeSpan = TimeSpan::from_secs(90);
+
+/// Call to the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CallStage {
+    /// No call is out.
+    Idle {
+        /// When the next call may go out.
+        retry: LocalTime,
+    },
+    /// A call is out.
+    Waiting {
+        /// When it counts as lost.
+        lapse: LocalTime,
+    },
+}
+
+impl CallStage {
+    /// Returns whether a call may go out.
+    pub(super) fn is_due(self, now: LocalTime) -> bool {
+        let (Self::Idle { retry: due } | Self::Waiting { lapse: due }) = self;
+        now >= due
+    }
+}
+
+/// Starts the calls that are due.
+pub(super) fn drive_calls(
+    state: &mut ConfigurationState,
+    now: LocalTime,
+    effects: &mut Vec<ConfigurationEffect>,
+) {
+    let wants_read = state.booting || (state.relay && state.content_too_old);
+    if wants_read && state.read.is_due(now) {
+        state.read = CallStage::Waiting {
+            lapse: now + state.settings.answer_limit,
+        };
+        effects.push(ConfigurationEffect::ReadContent);
+    }
+    if !state.relay {
+        return;
+    }
+    let lapse = now + WATCH_LIMIT;
+    if !state.content_too_old && state.content_watch.is_due(now) {
+        state.content_watch = CallStage::Waiting { lapse };
+        effects.push(ConfigurationEffect::WatchContent {
+            from: state.content_from.max(state.newest_version()),
+        });
+    }
+    if state.record.is_some() && state.record_watch.is_due(now) {
+        state.record_watch = CallStage::Waiting { lapse };
+        effects.push(ConfigurationEffect::WatchRecord {
+            from: state.record_from,
+        });
+    }
+}
+
+/// Takes in the answer to a read of the configuration.
+pub(super) fn content_read(
+    state: &mut ConfigurationState,
+    reply: ReadReply<Box<str>>,
+    now: LocalTime,
+    effects: &mut Vec<ConfigurationEffect>,
+) {
+    let retry = match reply {
+        ReadReply::Found(object) => {
+            state.note_contact(now);
+            state.content_too_old = false;
+            state.content_from = state.content_from.max(object.version);
+            // The platform's answer is newer than any peer's.
+            state.boot_until = state.boot_until.min(now);
+            take_from_platform(state, object, now, effects);
+            now
+        }
+        ReadReply::Missing => {
+            state.note_contact(now);
+            state.content_too_old = false;
+            now + state.settings.retry_period
+        }
+        ReadReply::Unavailable => now + state.settings.retry_period,
+    };
+    state.read = CallStage::Idle { retry };
+}
+
+fn take_from_platform(
+    state: &mut ConfigurationState,
+    object: VersionedObject<Box<str>>,
+    now: LocalTime,
+    effects: &mut Vec<ConfigurationEffect>,
+) {
+    let version = object.version;
+    let is_news = adopt(state, object);
+    if is_news && state.relay {
+        push_to_members(state, effects);
+    }
+    if version == state.newest_version() {
+        state.confirmed = Some(now);
+    }
+}
+
+/// Takes in the answer to a watch of the configuration.
+pub(super) fn content_watched(
+    state: &mut ConfigurationState,
+    answer: WatchAnswer<Box<str>>,
+    now: LocalTime,
+    effects: &mut Vec<ConfigurationEffect>,
+) {
+    let retry = match answer {
+        WatchAnswer::Changes { version, changes } => {
+            state.note_contact(now);
+            let last = changes.into_iter().rev().find_map(|change| change.object);
+            if let Some(object) = last {
+                take_from_platform(state, object, now, effects);
+            }
+            note_watched(state, version, now);
+            now
+        }
+        WatchAnswer::TooOld => {
+            state.content_too_old = true;
+            now
+        }
+        WatchAnswer::Unavailable => now + state.settings.retry_period,
+    };
+    state.content_watch = CallStage::Idle { retry };
+}
+
+fn note_watched(state: &mut ConfigurationState, version: ObjectVersion, now: LocalTime) {
+    state.content_from = state.content_from.max(version);
+    if state.newest.is_some() && state.newest_version() <= version {
+        state.confirmed = Some(now);
+    }
+}
+
+/// Takes in the answer to a watch of the withdrawal record.
+pub(super) fn record_watched(
+    state: &mut ConfigurationState,
+    answer: WatchAnswer<WithdrawalRecord>,
+    now: LocalTime,
+    effects: &mut Vec<ConfigurationEffect>,
+) {
+    let retry = match answer {
+        WatchAnswer::Changes { version, changes } => {
+            state.note_contact(now);
+            state.record_from = state.record_from.max(version);
+            for object in changes.into_iter().filter_map(|change| change.object) {
+                adopt_record(state, object, effects);
+            }
+            now
+        }
+        WatchAnswer::TooOld => {
+            state.record_unsure = true;
+            state.record_from = ObjectVersion::default();
+            now + state.settings.retry_period
+        }
+        WatchAnswer::Unavailable => now + state.settings.retry_period,
+    };
+    state.record_watch = CallStage::Idle { retry };
+}
--- /dev/null
+++ b/crates/clementinepond_decide/src/roster/share.rs
@@ -0,0 +1,218 @@
+//! The data centre's share of the fleet.
+//!
+//! The fleet's table says what each data centre holds. A data centre lowers
+//! the share in its own table first, with a mark; when every member keeps to
+//! it, a relay lowers the fleet's table, then the mark goes. It raises the
+//! share in its own table only without a mark and from a fleet table at least
+//! as new as the one that cleared the last mark. So the members of a data
+//! centre never use more than the fleet's table gives to it.
+
+use super::{RosterEffect, RosterMutation, RosterState, RosterTable, ShareTable};
+use crate::port::{ReadReply, StoreReply, VersionedObject};
+use clementinepond_types::{LocalTime, ObjectVersion};
+use std::collections::BTreeMap;
+
+/// Call about the fleet shares.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum ShareWork {
+    /// No call is out.
+    Idle {
+        /// When the next call may go out.
+        retry: LocalTime,
+    },
+    /// A read is out.
+    Reading {
+        /// When it counts as lost.
+        lapse: LocalTime,
+    },
+    /// An update is out.
+    Storing {
+        /// New content.
+        table: ShareTable,
+        /// When it counts as lost.
+        lapse: LocalTime,
+    },
+}
+
+/// Changes the share in the own table.
+pub(super) fn plan_share(state: &RosterState, table: &mut RosterTable) {
+    let (Some(target), Some(shares)) = (state.share_target, &state.shares) else {
+        return;
+    };
+    let fleet = shares.value.share(&table.data_centre);
+    if table.share_releasing {
+        if shares.version > table.share_version && fleet == table.share {
+            table.share_releasing = false;
+            table.share_version = shares.version;
+        }
+        return;
+    }
+    if shares.version < table.share_version {
+        return;
+    }
+    if fleet > target {
+        table.share = table.share.min(target);
+        table.share_version = shares.version;
+        table.share_releasing = true;
+    } else if fleet > table.share {
+        table.share = fleet;
+        table.share_version = shares.version;
+    }
+}
+
+/// Starts the next call about the fleet shares, when one is wanted.
+pub(super) fn drive_shares(
+    state: &mut RosterState,
+    now: LocalTime,
+    effects: &mut Vec<RosterEffect>,
+) {
+    match &state.share_work {
+        ShareWork::Reading { lapse } | ShareWork::Storing { lapse, .. } if now < *lapse => return,
+        ShareWork::Idle { retry } if now < *retry => return,
+        _ => {}
+    }
+    let is_settled = is_settled(state);
+    if !state.relay || state.own_entry().is_none() || is_settled {
+        return;
+    }
+    let lapse = now + state.settings.answer_limit;
+    match plan_shares(state) {
+        Some(table) => {
+            effects.push(RosterEffect::StoreShares {
+                if_version: shares_version(state),
+                table: table.clone(),
+                deadline: lapse,
+            });
+            state.share_work = ShareWork::Storing { table, lapse };
+        }
+        None => {
+            effects.push(RosterEffect::ReadShares);
+            state.share_work = ShareWork::Reading { lapse };
+        }
+    }
+}
+
+fn shares_version(state: &RosterState) -> ObjectVersion {
+    state
+        .shares
+        .as_ref()
+        .map_or_else(ObjectVersion::default, |shares| shares.version)
+}
+
+/// Returns whether the own table, the fleet's and the target agree.
+fn is_settled(state: &RosterState) -> bool {
+    let (Some(target), Some(object)) = (state.share_target, state.own_table()) else {
+        return true;
+    };
+    let table = &object.value;
+    let fleet = state
+        .shares
+        .as_ref()
+        .map(|shares| shares.value.share(&table.data_centre));
+    fleet == Some(target) && table.share == target && !table.share_releasing
+}
+
+fn plan_shares(state: &mut RosterState) -> Option<ShareTable> {
+    let target = state.share_target?;
+    let table = state.own_table()?.value.clone();
+    let data_centre = table.data_centre.clone();
+    let known = state.shares.as_ref().map(|shares| shares.value.clone());
+    let mut shares = match known {
+        Some(known) => known,
+        None if state.shares_missing => ShareTable {
+            shares: BTreeMap::new(),
+            holder: state.own.vm.clone(),
+            nonce: table.nonce,
+        },
+        None => return None,
+    };
+    let fleet = shares.share(&data_centre);
+    let next = if table.share_releasing {
+        let may_lower = all_keep(state, &table);
+        may_lower.then_some(table.share)
+    } else {
+        let gain = target.saturating_sub(fleet).min(shares.unheld());
+        Some(fleet + gain)
+    }?;
+    if next == fleet {
+        return None;
+    }
+    shares.shares.insert(data_centre, next);
+    shares.holder = state.own.vm.clone();
+    shares.nonce = state.next_nonce();
+    Some(shares)
+}
+
+/// Returns whether every member is known to keep to the table's share.
+fn all_keep(state: &RosterState, table: &RosterTable) -> bool {
+    state.mutated(RosterMutation::ShareBeforeStop)
+        || table.members.keys().all(|vm| state.keeping.contains(vm))
+}
+
+/// Takes in the answer to a read.
+pub(super) fn shares_read(state: &mut RosterState, reply: ReadReply<ShareTable>, now: LocalTime) {
+    let found = match reply {
+        ReadReply::Found(object) => {
+            state.shares_missing = false;
+            adopt_shares(state, object)
+        }
+        ReadReply::Missing => {
+            state.shares_missing = state.shares.is_none();
+            true
+        }
+        ReadReply::Unavailable => false,
+    };
+    idle(state, found, now);
+}
+
+/// Takes in the answer to an update.
+pub(super) fn shares_stored(
+    state: &mut RosterState,
+    reply: StoreReply<ShareTable>,
+    now: LocalTime,
+) {
+    let found = match (reply, &state.share_work) {
+        (StoreReply::Stored { version }, ShareWork::Storing { table, .. }) => {
+            let object = VersionedObject {
+                version,
+                value: table.clone(),
+            };
+            adopt_shares(state, object)
+        }
+        (StoreReply::Conflict(Some(object)), _) => adopt_shares(state, object),
+        // The next update is conditional on the same version, so at most one
+        // of the two takes effect; its conflict brings the newer table.
+        _ => false,
+    };
+    idle(state, found, now);
+}
+
+fn idle(state: &mut RosterState, is_news: bool, now: LocalTime) {
+    let retry = if is_news {
+        now
+    } else {
+        now + state.settings.list_period
+    };
+    state.share_work = ShareWork::Idle { retry };
+}
+
+fn adopt_shares(state: &mut RosterState, object: VersionedObject<ShareTable>) -> bool {
+    let is_newer = object.version > shares_version(state);
+    if is_newer {
+        state.shares = Some(object);
+    }
+    is_newer
+}
+
+/// Notes in the own bit whether this VM keeps to the table's share.
+pub(super) fn note_keeping(state: &mut RosterState) {
+    let keeps = state.own_entry().is_some()
+        && state.outstanding_share <= state.usable_share()
+        && state
+            .announced
+            .as_ref()
+            .is_some_and(|announced| announced.share <= state.usable_share());
+    if keeps {
+        state.keeping.insert(state.own.vm.clone());
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_decide/src/roster/store.rs
@@ -0,0 +1,322 @@
+//! Reads and conditional updates of the own table.
+//!
+//! An update without answer is followed by a read. Until a version larger
+//! than the one that the update was conditional on is known, the update may
+//! still take effect: parts that it releases stay unused, parts that it gains
+//! are not used yet.
+
+use super::plan::plan_table;
+use super::state::PartRelease;
+use super::{MembershipStage, RosterEffect, RosterMutation, RosterState, RosterTable, UpdateNonce};
+use crate::port::{ReadReply, StoreReply, VersionedObject};
+use clementinepond_types::{LocalTime, ObjectVersion};
+
+/// Call about the own table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum TableWork {
+    /// No call is out.
+    Idle {
+        /// When the next call may go out.
+        retry: LocalTime,
+    },
+    /// An update had no answer; the table must be read.
+    Unsure {
+        /// When the read may go out.
+        retry: LocalTime,
+    },
+    /// A read is out.
+    Reading {
+        /// When it counts as lost.
+        lapse: LocalTime,
+    },
+    /// An update is out.
+    Storing(Box<SentTable>),
+}
+
+/// Update that waits for its answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct SentTable {
+    base: ObjectVersion,
+    table: RosterTable,
+    sent: LocalTime,
+    lapse: LocalTime,
+}
+
+/// Starts the next call, when one is wanted.
+pub(super) fn drive_table(
+    state: &mut RosterState,
+    now: LocalTime,
+    effects: &mut Vec<RosterEffect>,
+) {
+    expire_call(state, now);
+    match state.table_work {
+        TableWork::Idle { retry } if now >= retry => {
+            if wants_read(state, now) {
+                start_read(state, now, effects);
+            } else {
+                start_update(state, now, effects);
+            }
+        }
+        TableWork::Unsure { retry } if now >= retry => start_read(state, now, effects),
+        _ => {}
+    }
+}
+
+fn expire_call(state: &mut RosterState, now: LocalTime) {
+    match &state.table_work {
+        TableWork::Reading { lapse } if now >= *lapse => {
+            state.table_work = TableWork::Unsure { retry: now };
+        }
+        TableWork::Storing(sent) if now >= sent.lapse => {
+            let base = sent.base;
+            note_unknown(state, base, now);
+        }
+        _ => {}
+    }
+}
+
+/// Returns whether the table is unknown and no peer is likely to send it.
+fn wants_read(state: &RosterState, now: LocalTime) -> bool {
+    let peers_had_time = state.settings.seeds.is_empty()
+        || now.since(state.started) >= state.settings.heartbeat_period;
+    state.own_table().is_none() && !state.table_missing && peers_had_time
+}
+
+fn start_read(state: &mut RosterState, now: LocalTime, effects: &mut Vec<RosterEffect>) {
+    state.table_work = TableWork::Reading {
+        lapse: now + state.settings.answer_limit,
+    };
+    effects.push(RosterEffect::ReadTable {
+        data_centre: state.own.data_centre.clone(),
+    });
+}
+
+fn start_update(state: &mut RosterState, now: LocalTime, effects: &mut Vec<RosterEffect>) {
+    let Some(table) = plan_table(state, now) else {
+        return;
+    };
+    let base = if state.table_missing {
+        ObjectVersion::default()
+    } else {
+        state.own_version()
+    };
+    if let Some(release) = &mut state.release {
+        release.written_on = Some(base);
+    }
+    let lapse = now + state.settings.answer_limit;
+    effects.push(RosterEffect::StoreTable {
+        if_version: base,
+        table: table.clone(),
+        deadline: lapse,
+    });
+    state.table_work = TableWork::Storing(Box::new(SentTable {
+        base,
+        table,
+        sent: now,
+        lapse,
+    }));
+}
+
+/// Takes in the answer to a read.
+pub(super) fn table_read(
+    state: &mut RosterState,
+    reply: ReadReply<RosterTable>,
+    now: LocalTime,
+    effects: &mut Vec<RosterEffect>,
+) {
+    let retry = match reply {
+        ReadReply::Found(object) => {
+            state.table_missing = false;
+            adopt_table(state, object, now, effects);
+            now
+        }
+        ReadReply::Missing => {
+            state.table_missing = true;
+            now
+        }
+        ReadReply::Unavailable => now + state.settings.retry_period,
+    };
+    if let TableWork::Reading { .. } = state.table_work {
+        state.table_work = TableWork::Idle { retry };
+    }
+}
+
+/// Takes in the answer to an update.
+pub(super) fn table_stored(
+    state: &mut RosterState,
+    nonce: UpdateNonce,
+    reply: StoreReply<RosterTable>,
+    now: LocalTime,
+    effects: &mut Vec<RosterEffect>,
+) {
+    let sent = match &state.table_work {
+        TableWork::Storing(sent) if sent.table.nonce == nonce => Some(sent.as_ref().clone()),
+        _ => None,
+    };
+    match (reply, sent) {
+        (StoreReply::Stored { version }, Some(sent)) => {
+            state.table_missing = false;
+            state.table_work = TableWork::Idle { retry: now };
+            let object = VersionedObject {
+                version,
+                value: sent.table,
+            };
+            adopt_table(state, object, now, effects);
+            state.note_written(sent.sent);
+        }
+        (StoreReply::Conflict(object), sent) => {
+            if sent.is_some() {
+                state.table_work = TableWork::Idle { retry: now };
+            }
+            note_conflict(state, object, now, effects);
+        }
+        (StoreReply::Unknown, Some(sent)) => {
+            if state.mutated(RosterMutation::UseOnUnknown) {
+                let object = VersionedObject {
+                    version: sent.base.next(),
+                    value: sent.table,
+                };
+                adopt_table(state, object, now, effects);
+            }
+            note_unknown(state, sent.base, now);
+        }
+        (StoreReply::Stored { .. } | StoreReply::Unknown, None) => {}
+    }
+}
+
+fn note_conflict(
+    state: &mut RosterState,
+    object: Option<VersionedObject<RosterTable>>,
+    now: LocalTime,
+    effects: &mut Vec<RosterEffect>,
+) {
+    let Some(object) = object else {
+        state.table_missing = true;
+        return;
+    };
+    state.table_missing = false;
+    adopt_table(state, object, now, effects);
+}
+
+fn note_unknown(state: &mut RosterState, base: ObjectVersion, now: LocalTime) {
+    state.table_work = TableWork::Unsure { retry: now };
+    let resumes = state.mutated(RosterMutation::ResumeOnUnknown);
+    if resumes
+        && state
+            .release
+            .is_some_and(|release| release.written_on == Some(base))
+    {
+        state.release = None;
+    }
+}
+
+/// Replaces a known table by a newer one.
+pub(super) fn adopt_table(
+    state: &mut RosterState,
+    object: VersionedObject<RosterTable>,
+    now: LocalTime,
+    effects: &mut Vec<RosterEffect>,
+) {
+    let data_centre = object.value.data_centre.clone();
+    let known = state.rosters.get(&data_centre);
+    let is_older = known.is_some_and(|known| known.version >= object.version);
+    if is_older && !state.mutated(RosterMutation::AcceptOlder) {
+        return;
+    }
+    learn_addresses(known.map(|known| &known.value), &object.value, effects);
+    let is_own = data_centre == state.own.data_centre;
+    if is_own {
+        note_signs_of_life(state, &object.value, now);
+        note_release_decided(state, object.version);
+    }
+    state.rosters.insert(data_centre, object);
+    if is_own {
+        state.keeping.clear();
+        update_stage(state, now, effects);
+        prune(state, now);
+    }
+}
+
+fn learn_addresses(
+    known: Option<&RosterTable>,
+    table: &RosterTable,
+    effects: &mut Vec<RosterEffect>,
+) {
+    for (vm, member) in &table.members {
+        let before = known.and_then(|known| known.members.get(vm));
+        if before.is_none_or(|before| before.address != member.address) {
+            effects.push(RosterEffect::LearnAddress {
+                vm: vm.clone(),
+                address: member.address.clone(),
+            });
+        }
+    }
+}
+
+/// Counts a new entry, and an update, as a sign of life of its process.
+fn note_signs_of_life(state: &mut RosterState, table: &RosterTable, now: LocalTime) {
+    let known = state
+        .rosters
+        .get(&table.data_centre)
+        .map(|object| &object.value);
+    let fresh: Vec<_> = table
+        .members
+        .iter()
+        .filter(|(vm, member)| {
+            known.is_none_or(|known| known.entry(vm, member.incarnation).is_none())
+        })
+        .map(|(vm, _)| vm.clone())
+        .collect();
+    for vm in &fresh {
+        state.heard.note(vm, now);
+    }
+    state.heard.note(&table.holder, now);
+}
+
+/// Ends a release whose update has been decided either way.
+fn note_release_decided(state: &mut RosterState, version: ObjectVersion) {
+    let is_decided = |release: &PartRelease| release.written_on.is_some_and(|base| version > base);
+    if state.release.as_ref().is_some_and(is_decided) {
+        state.release = None;
+    }
+}
+
+fn update_stage(state: &mut RosterState, now: LocalTime, effects: &mut Vec<RosterEffect>) {
+    let is_listed = state.own_entry().is_some();
+    match state.stage {
+        MembershipStage::Joining if is_listed => {
+            state.stage = MembershipStage::Member;
+            state.platform_contact = Some(now);
+            state.suspended = None;
+        }
+        MembershipStage::Member if !is_listed => {
+            state.stage = MembershipStage::Joining;
+            state.joining_since = now;
+            state.suspended = None;
+            state.release = None;
+        }
+        MembershipStage::Releasing if !is_listed => {
+            state.stage = MembershipStage::Released;
+            effects.push(RosterEffect::Released);
+        }
+        _ => {}
+    }
+}
+
+fn prune(state: &mut RosterState, now: LocalTime) {
+    let Some(object) = state.rosters.get(&state.own.data_centre) else {
+        return;
+    };
+    let table = &object.value;
+    state.heard.prune(table, state.settings.suspicion, now);
+    state
+        .contacts
+        .retain(|vm, _| table.members.contains_key(vm));
+    state.absent.retain(|vm, _| table.members.contains_key(vm));
+    state
+        .sightings
+        .retain(|vm, _| table.members.contains_key(vm));
+    state
+        .joiners
+        .retain(|vm, (request, _)| table.entry(vm, request.incarnation).is_none());
+}
