--- /dev/null
+++ b/crates/clementinepond_decide/src/crash/reduce.rs
@@ -0,0 +1,150 @@
+//! From an event to effects.
+
+use super::effect::{CrashEffect, CrashRefusal};
+use super::event::CrashEvent;
+use super::guard;
+use super::message::CrashMessage;
+use super::permit;
+use super::state::CrashState;
+use super::verdict_store;
+use clementinepond_types::{DataCentreId, Epoch, LocalTime, TimeSpan, VmId};
+use std::collections::VecDeque;
+
+/// Time between two searches for what expired.
+const SWEEP_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
+
+/// Applies one event.
+pub fn reduce(state: &mut CrashState, event: CrashEvent, now: LocalTime) -> Vec<CrashEffect> {
+    let mut queue: VecDeque<CrashEffect> = apply(state, event, now).into();
+    let mut effects = Vec::new();
+    while let Some(effect) = queue.pop_front() {
+        match effect {
+            // The arbiter asks itself without the network.
+            CrashEffect::Send { to, message } if to == state.vm => {
+                queue.extend(received(state, to, message, now));
+            }
+            other => effects.push(other),
+        }
+    }
+    effects.extend(guard::announce(state, now));
+    effects
+}
+
+fn apply(state: &mut CrashState, event: CrashEvent, now: LocalTime) -> Vec<CrashEffect> {
+    match event {
+        CrashEvent::Ask {
+            ticket,
+            fingerprint,
+            candidates,
+            deadline,
+        } => permit::ask(state, ticket, fingerprint, candidates, deadline, now),
+        CrashEvent::Dispatched {
+            ticket,
+            fingerprint,
+            endpoint,
+            incarnation,
+        } => permit::dispatched(state, ticket, fingerprint, endpoint, incarnation, now),
+        CrashEvent::Completed { ticket } => guard::completed(state, ticket, now),
+        CrashEvent::Stopped { ticket } => permit::over(state, ticket),
+        CrashEvent::StreamBroken { ticket } => guard::stream_broken(state, ticket, now),
+        CrashEvent::EndpointSeen {
+            endpoint,
+            incarnation,
+            asked_at,
+        } => guard::endpoint_seen(state, &endpoint, incarnation, asked_at, now),
+        CrashEvent::EndpointLost { endpoint } => guard::endpoint_lost(state, &endpoint, now),
+        CrashEvent::Received { from, message } => received(state, from, message, now),
+        CrashEvent::RosterChanged {
+            data_centre,
+            epoch,
+            members,
+        } => roster_changed(state, data_centre, epoch, members, now),
+        CrashEvent::StoreReplied { reply } => verdict_store::store_replied(state, reply, now),
+        CrashEvent::ReadReplied { reply } => verdict_store::read_replied(state, reply, now),
+        CrashEvent::Release { fingerprint } => guard::release(state, fingerprint, now),
+        CrashEvent::Tick => tick(state, now),
+    }
+}
+
+fn received(
+    state: &mut CrashState,
+    from: VmId,
+    message: CrashMessage,
+    now: LocalTime,
+) -> Vec<CrashEffect> {
+    match message {
+        CrashMessage::Announce {
+            losses,
+            suspects,
+            verdicts,
+        } => guard::announced(state, losses, suspects, verdicts, now),
+        CrashMessage::AskPermit {
+            ticket,
+            fingerprint,
+            candidates,
+            time_left,
+        } => permit::permit_asked(state, from, ticket, fingerprint, candidates, time_left, now),
+        CrashMessage::Permit { ticket, reply } => {
+            permit::permit_replied(state, from, ticket, reply, now)
+        }
+        CrashMessage::Running {
+            ticket,
+            fingerprint,
+            endpoint,
+        } => permit::running(state, from, ticket, fingerprint, endpoint, now),
+        CrashMessage::RunOver { ticket } => permit::run_over(state, from, ticket, now),
+    }
+}
+
+fn roster_changed(
+    state: &mut CrashState,
+    data_centre: DataCentreId,
+    epoch: Epoch,
+    members: Vec<VmId>,
+    now: LocalTime,
+) -> Vec<CrashEffect> {
+    let known = state.rosters.get(&data_centre);
+    if known.is_some_and(|(known, _)| *known >= epoch) {
+        return Vec::new();
+    }
+    let former = state.arbiter();
+    let gone: Vec<VmId> = known.map_or_else(Vec::new, |(_, known)| {
+        let gone = known.iter().filter(|vm| !members.contains(vm));
+        gone.cloned().collect()
+    });
+    state.rosters.insert(data_centre, (epoch, members));
+    for vm in &gone {
+        state.permits.remove_vm(vm);
+    }
+    let arbiter = state.arbiter();
+    if arbiter == former {
+        return Vec::new();
+    }
+    if arbiter == state.vm {
+        // Runs that the former arbiter permitted are reported first.
+        state.settled_at = now + state.settings.arbiter_wait;
+    }
+    permit::report_runs(state)
+}
+
+fn tick(state: &mut CrashState, now: LocalTime) -> Vec<CrashEffect> {
+    let mut effects = permit::tick(state, now);
+    if now >= state.next_sweep {
+        state.next_sweep = now + SWEEP_INTERVAL;
+        effects.extend(guard::sweep(state, now));
+    }
+    effects.extend(verdict_store::tick(state, now));
+    effects
+}
+
+/// Refuses a run because of a verdict.
+pub(super) fn poison_refusal(
+    ticket: super::identity::CrashTicket,
+    retry_after: TimeSpan,
+) -> CrashEffect {
+    CrashEffect::Refused {
+        ticket,
+        retry_after,
+        reason: CrashRefusal::Poison,
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_decide/src/crash/state.rs
@@ -0,0 +1,145 @@
+//! What one VM remembers about crashes.
+
+use super::arbiter::PermitTable;
+use super::identity::{CrashTicket, RequestFingerprint};
+use super::loss::LossTable;
+use super::message::{LossReport, SuspectReport};
+use super::run::RunEntry;
+use super::settings::{CrashSettings, CrashSharing};
+use super::suspect::SuspectTable;
+use super::verdict::{Verdict, VerdictTable, VerdictView};
+use clementinepond_types::{DataCentreId, Epoch, LocalTime, ObjectVersion, VmId};
+use std::collections::BTreeMap;
+
+/// Name that selects the arbiter among the VMs.
+const ARBITER_SEED: &str = "crash-arbiter";
+
+/// News that wait for the next broadcast.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct NewsQueue {
+    pub(crate) losses: Vec<LossReport>,
+    pub(crate) suspects: Vec<SuspectReport>,
+    pub(crate) verdicts: Vec<Verdict>,
+    pub(crate) next_send: LocalTime,
+}
+
+impl NewsQueue {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.losses.is_empty() && self.suspects.is_empty() && self.verdicts.is_empty()
+    }
+}
+
+/// The verdict object as this VM knows it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct VerdictStore {
+    pub(crate) version: Option<ObjectVersion>,
+    pub(crate) loaded: bool,
+    pub(crate) dirty: bool,
+    pub(crate) in_flight: bool,
+    pub(crate) next_call: LocalTime,
+}
+
+/// Numbers for metrics and the operator's view.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashCounts {
+    /// Runs in flight at endpoints.
+    pub in_flight: usize,
+    /// Runs that wait for a permit.
+    pub waiting: usize,
+    /// Lost endpoint processes that are remembered.
+    pub losses: usize,
+    /// Requests that are remembered as suspects.
+    pub suspects: usize,
+    /// Permits that this VM gave.
+    pub permits: usize,
+}
+
+/// Crash guard of one VM.
+#[derive(Debug, Clone)]
+pub struct CrashState {
+    pub(crate) settings: CrashSettings,
+    pub(crate) vm: VmId,
+    pub(crate) rosters: BTreeMap<DataCentreId, (Epoch, Vec<VmId>)>,
+    pub(crate) runs: BTreeMap<CrashTicket, RunEntry>,
+    pub(crate) losses: LossTable,
+    pub(crate) suspects: SuspectTable,
+    pub(crate) verdicts: VerdictTable,
+    pub(crate) permits: PermitTable,
+    pub(crate) news: NewsQueue,
+    pub(crate) store: VerdictStore,
+    /// Moment from which this VM gives permits as the arbiter.
+    pub(crate) settled_at: LocalTime,
+    pub(crate) next_sweep: LocalTime,
+}
+
+impl CrashState {
+    /// Starts without knowledge.
+    #[must_use]
+    pub fn new(settings: CrashSettings, vm: VmId) -> Self {
+        Self {
+            settings,
+            vm,
+            rosters: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            losses: LossTable::default(),
+            suspects: SuspectTable::default(),
+            verdicts: VerdictTable::default(),
+            permits: PermitTable::default(),
+            news: NewsQueue::default(),
+            store: VerdictStore::default(),
+            settled_at: LocalTime::ORIGIN,
+            next_sweep: LocalTime::ORIGIN,
+        }
+    }
+
+    /// Returns the verdicts for an operator.
+    #[must_use]
+    pub fn verdicts(&self, now: LocalTime) -> Vec<VerdictView> {
+        self.verdicts.views(now)
+    }
+
+    /// Returns whether a request is refused.
+    #[must_use]
+    pub fn is_refused(&self, fingerprint: RequestFingerprint, now: LocalTime) -> bool {
+        self.verdicts.is_refused(fingerprint, now)
+    }
+
+    /// Returns numbers for metrics.
+    #[must_use]
+    pub fn counts(&self) -> CrashCounts {
+        let in_flight = |entry: &&RunEntry| matches!(entry, RunEntry::InFlight(_));
+        let waiting = |entry: &&RunEntry| matches!(entry, RunEntry::Waiting(_));
+        CrashCounts {
+            in_flight: self.runs.values().filter(in_flight).count(),
+            waiting: self.runs.values().filter(waiting).count(),
+            losses: self.losses.len(),
+            suspects: self.suspects.len(),
+            permits: self.permits.len(),
+        }
+    }
+
+    /// Returns every other VM that the rosters name.
+    pub(crate) fn peers(&self) -> Vec<VmId> {
+        let members = self.rosters.values().flat_map(|(_, members)| members);
+        members.filter(|vm| **vm != self.vm).cloned().collect()
+    }
+
+    /// Returns the VM that gives permits.
+    pub(crate) fn arbiter(&self) -> VmId {
+        if self.settings.sharing != CrashSharing::Arbiter {
+            return self.vm.clone();
+        }
+        let members = self.rosters.values().flat_map(|(_, members)| members);
+        members
+            .max_by_key(|vm| (arbiter_weight(vm), (*vm).clone()))
+            .unwrap_or(&self.vm)
+            .clone()
+    }
+}
+
+fn arbiter_weight(vm: &VmId) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(ARBITER_SEED.as_bytes());
+    hasher.update(vm.as_str().as_bytes());
+    *hasher.finalize().as_bytes()
+}
--- /dev/null
+++ b/crates/clementinepond_decide/src/crash/verdict.rs
@@ -0,0 +1,184 @@
+//! Verdicts: requests that are refused.
+
+use super::identity::RequestFingerprint;
+use super::settings::{CrashMutation, CrashSettings};
+use clementinepond_types::{LocalTime, TimeSpan};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Verdict on one request, as it travels.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// Request.
+    pub fingerprint: RequestFingerprint,
+    /// Number of the verdict on this request; larger is newer.
+    pub round: u32,
+    /// Whether an operator released the request.
+    pub released: bool,
+    /// Endpoint processes that were lost before the verdict.
+    pub lost: u32,
+    /// Time for which the verdict still stands.
+    pub time_left: TimeSpan,
+}
+
+/// Verdict on one request, as an operator sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct VerdictView {
+    /// Request.
+    pub fingerprint: RequestFingerprint,
+    /// Whether an operator released the request.
+    pub released: bool,
+    /// Endpoint processes that were lost before the verdict.
+    pub lost: u32,
+    /// Time for which the verdict still stands.
+    pub time_left: TimeSpan,
+    /// Calls that this VM refused under the verdict.
+    pub refused_calls: u64,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct VerdictEntry {
+    round: u32,
+    released: bool,
+    lost: u32,
+    expiry: LocalTime,
+    refused_calls: u64,
+}
+
+impl VerdictEntry {
+    fn order(&self) -> (u32, bool) {
+        (self.round, self.released)
+    }
+}
+
+/// Verdicts that this VM knows of.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct VerdictTable {
+    entries: BTreeMap<RequestFingerprint, VerdictEntry>,
+}
+
+impl VerdictTable {
+    /// Returns the time for which a request is refused, if it is.
+    pub(crate) fn refused_for(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        now: LocalTime,
+    ) -> Option<TimeSpan> {
+        let entry = self.entries.get_mut(&fingerprint)?;
+        if entry.released || now >= entry.expiry {
+            return None;
+        }
+        entry.refused_calls += 1;
+        Some(now.until(entry.expiry))
+    }
+
+    pub(crate) fn is_refused(&self, fingerprint: RequestFingerprint, now: LocalTime) -> bool {
+        self.entries
+            .get(&fingerprint)
+            .is_some_and(|entry| !entry.released && now < entry.expiry)
+    }
+
+    /// Returns a verdict that is newer than any known one.
+    pub(crate) fn condemn(
+        &self,
+        fingerprint: RequestFingerprint,
+        lost: usize,
+        settings: &CrashSettings,
+    ) -> Verdict {
+        let round = self
+            .entries
+            .get(&fingerprint)
+            .map_or(0, |entry| entry.round);
+        Verdict {
+            fingerprint,
+            round: round + 1,
+            released: false,
+            lost: u32::try_from(lost).unwrap_or(u32::MAX),
+            time_left: settings.verdict_lifetime,
+        }
+    }
+
+    /// Returns the release of the verdict that stands.
+    pub(crate) fn release(
+        &self,
+        fingerprint: RequestFingerprint,
+        settings: &CrashSettings,
+    ) -> Option<Verdict> {
+        let entry = self.entries.get(&fingerprint)?;
+        Some(Verdict {
+            fingerprint,
+            round: entry.round,
+            released: true,
+            lost: entry.lost,
+            time_left: settings.verdict_lifetime,
+        })
+    }
+
+    /// Merges a verdict; returns whether it was news.
+    pub(crate) fn merge(
+        &mut self,
+        verdict: &Verdict,
+        settings: &CrashSettings,
+        now: LocalTime,
+    ) -> bool {
+        let time_left = verdict.time_left.min(settings.verdict_lifetime);
+        let new = VerdictEntry {
+            round: verdict.round,
+            released: verdict.released,
+            lost: verdict.lost,
+            expiry: now + time_left,
+            refused_calls: 0,
+        };
+        let known = self.entries.get(&verdict.fingerprint);
+        let is_older = known.is_some_and(|known| known.order() >= new.order());
+        if is_older && settings.mutation != CrashMutation::ForgetRelease {
+            return false;
+        }
+        self.entries.insert(verdict.fingerprint, new);
+        if self.entries.len() > settings.verdict_limit {
+            let first = self.entries.iter().min_by_key(|(_, entry)| entry.expiry);
+            if let Some(first) = first.map(|(fingerprint, _)| *fingerprint) {
+                self.entries.remove(&first);
+            }
+        }
+        true
+    }
+
+    /// Forgets what expired; returns whether anything did.
+    pub(crate) fn expire(&mut self, settings: &CrashSettings, now: LocalTime) -> bool {
+        if settings.mutation == CrashMutation::KeepVerdict {
+            for entry in self.entries.values_mut() {
+                entry.expiry = LocalTime::NEVER;
+            }
+        }
+        let before = self.entries.len();
+        self.entries.retain(|_, entry| now < entry.expiry);
+        before != self.entries.len()
+    }
+
+    pub(crate) fn views(&self, now: LocalTime) -> Vec<VerdictView> {
+        self.entries
+            .iter()
+            .map(|(fingerprint, entry)| VerdictView {
+                fingerprint: *fingerprint,
+                released: entry.released,
+                lost: entry.lost,
+                time_left: now.until(entry.expiry),
+                refused_calls: entry.refused_calls,
+            })
+            .collect()
+    }
+
+    pub(crate) fn all(&self, now: LocalTime) -> Vec<Verdict> {
+        self.entries
+            .iter()
+            .map(|(fingerprint, entry)| Verdict {
+                fingerprint: *fingerprint,
+                round: entry.round,
+                released: entry.released,
+                lost: entry.lost,
+                time_left: now.until(entry.expiry),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_decide/src/crash/verdict_store.rs
@@ -0,0 +1,91 @@
+//! Verdicts on the platform.
+
+use super::effect::CrashEffect;
+use super::guard::merge_verdicts;
+use super::object::VerdictObject;
+use super::settings::CrashSharing;
+use super::state::CrashState;
+use crate::port::{ReadReply, StoreReply, VersionedObject};
+use clementinepond_types::LocalTime;
+
+/// Reads the verdicts once, and writes them when they changed.
+pub(crate) fn tick(state: &mut CrashState, now: LocalTime) -> Vec<CrashEffect> {
+    if state.settings.sharing == CrashSharing::Isolated {
+        return Vec::new();
+    }
+    if state.store.in_flight || now < state.store.next_call {
+        return Vec::new();
+    }
+    if !state.store.loaded {
+        return call(state, CrashEffect::Read, now);
+    }
+    if !state.store.dirty || state.arbiter() != state.vm {
+        return Vec::new();
+    }
+    state.store.dirty = false;
+    let object = VerdictObject::new(state.vm.clone(), state.verdicts.all(now));
+    let expected = state.store.version;
+    call(state, CrashEffect::Store { expected, object }, now)
+}
+
+fn call(state: &mut CrashState, effect: CrashEffect, now: LocalTime) -> Vec<CrashEffect> {
+    state.store.in_flight = true;
+    state.store.next_call = now + state.settings.store_gap;
+    vec![effect]
+}
+
+/// Takes the answer to a write.
+pub(crate) fn store_replied(
+    state: &mut CrashState,
+    reply: StoreReply<VerdictObject>,
+    now: LocalTime,
+) -> Vec<CrashEffect> {
+    state.store.in_flight = false;
+    match reply {
+        StoreReply::Stored { version } => {
+            state.store.version = Some(version);
+            Vec::new()
+        }
+        StoreReply::Conflict(found) => {
+            state.store.dirty = true;
+            state.store.version = None;
+            found.map_or_else(Vec::new, |found| loaded(state, found, now))
+        }
+        StoreReply::Unknown => {
+            // Reading again shows the version; verdicts merge in any order.
+            state.store.dirty = true;
+            state.store.loaded = false;
+            Vec::new()
+        }
+    }
+}
+
+/// Takes the answer to a read.
+pub(crate) fn read_replied(
+    state: &mut CrashState,
+    reply: ReadReply<VerdictObject>,
+    now: LocalTime,
+) -> Vec<CrashEffect> {
+    state.store.in_flight = false;
+    match reply {
+        ReadReply::Found(found) => {
+            state.store.loaded = true;
+            loaded(state, found, now)
+        }
+        ReadReply::Missing => {
+            state.store.loaded = true;
+            state.store.version = None;
+            Vec::new()
+        }
+        ReadReply::Unavailable => Vec::new(),
+    }
+}
+
+fn loaded(
+    state: &mut CrashState,
+    found: VersionedObject<VerdictObject>,
+    now: LocalTime,
+) -> Vec<CrashEffect> {
+    state.store.version = Some(found.version);
+    merge_verdicts(state, &found.value.list(), now)
+}
