--- a/crates/clementinepond_decide/src/configuration/content.rs
+++ b/crates/clementinepond_decide/src/configuration/content.rs
@@ -50,19 +50,24 @@
 /// Sends the newest version to all members of the data centre.
 pub(super) fn push_to_members(state: &ConfigurationState, effects: &mut Vec<ConfigurationEffect>) {
     let receivers = rotated(&state.local, &state.own, state.newest_version());
-    pass_on(state, &receivers, effects);
+    let base = state.history.front().map(|object| object.version);
+    if let Some(update) = update_from(state, base) {
+        pass_on(state, state.newest_version(), &update, &receivers, effects);
+    }
 }
 
-fn pass_on(state: &ConfigurationState, receivers: &[VmId], effects: &mut Vec<ConfigurationEffect>) {
-    let base = state.history.front().map(|object| object.version);
-    let Some(update) = update_from(state, base) else {
-        return;
-    };
+fn pass_on(
+    state: &ConfigurationState,
+    version: ObjectVersion,
+    update: &ContentUpdate,
+    receivers: &[VmId],
+    effects: &mut Vec<ConfigurationEffect>,
+) {
     for branch in branches(receivers, state.settings.fan_out) {
         effects.push(ConfigurationEffect::Send {
             to: branch.to,
             message: ConfigurationMessage::Update {
-                version: state.newest_version(),
+                version,
                 update: update.clone(),
                 subtree: branch.subtree,
             },
@@ -87,24 +92,26 @@
     })
 }
 
-/// Takes in a version that a peer sent.
+/// Takes in a version that a peer sent, and passes it on as it came.
 pub(super) fn update_received(
     state: &mut ConfigurationState,
     from: &VmId,
     version: ObjectVersion,
-    update: ContentUpdate,
+    update: &ContentUpdate,
     subtree: &[VmId],
     effects: &mut Vec<ConfigurationEffect>,
 ) {
+    pass_on(state, version, update, subtree, effects);
     let is_older = version <= state.newest_version();
     if is_older && !state.mutated(ConfigurationMutation::AcceptOlder) {
-        pass_on(state, subtree, effects);
         return;
     }
     let Some(text) = text_of(state, update) else {
         effects.push(ConfigurationEffect::Send {
             to: from.clone(),
-            message: ConfigurationMessage::Request { have: None },
+            message: ConfigurationMessage::Request {
+                have: usable_base(state, update),
+            },
         });
         return;
     };
@@ -112,24 +119,28 @@
         version,
         value: text,
     };
-    let is_asked = subtree.is_empty();
-    if !adopt(state, object) {
-        return;
-    }
-    if is_asked && state.relay {
+    let is_news = adopt(state, object);
+    if is_news && subtree.is_empty() && state.relay {
         push_to_members(state, effects);
-    } else {
-        pass_on(state, subtree, effects);
+    }
+}
+
+/// Returns the own version, unless a difference to it has just failed.
+fn usable_base(state: &ConfigurationState, update: &ContentUpdate) -> Option<ObjectVersion> {
+    let own = state.newest.as_ref()?.version;
+    match update {
+        ContentUpdate::Delta(delta) if delta.base != own => Some(own),
+        _ => None,
     }
 }
 
 /// Returns the text of an update, when it matches its digest.
-fn text_of(state: &ConfigurationState, update: ContentUpdate) -> Option<Box<str>> {
+fn text_of(state: &ConfigurationState, update: &ContentUpdate) -> Option<Box<str>> {
     match update {
         ContentUpdate::Whole { text, digest } => {
-            let is_sound = ContentDigest::of(&text) == digest
+            let is_sound = ContentDigest::of(text) == *digest
                 || state.mutated(ConfigurationMutation::SkipDigestCheck);
-            is_sound.then_some(text)
+            is_sound.then(|| text.clone())
         }
         ContentUpdate::Delta(delta) => {
             let newest = state.newest.as_ref()?;
--- a/crates/clementinepond_decide/src/configuration/effect.rs
+++ b/crates/clementinepond_decide/src/configuration/effect.rs
@@ -24,11 +24,15 @@
     },
     /// Read the configuration; answer with `ContentRead`.
     ReadContent,
+    /// List the kind `configuration`; answer with `ContentWatched`.
+    ListContent,
     /// Watch the configuration; answer with `ContentWatched`.
     WatchContent {
         /// Version after which changes are wanted.
         from: ObjectVersion,
     },
+    /// List the kind `withdrawal`; answer with `RecordWatched`.
+    ListRecords,
     /// Watch the withdrawal record; answer with `RecordWatched`.
     WatchRecord {
         /// Version after which changes are wanted.
--- a/crates/clementinepond_decide/src/configuration/reduce.rs
+++ b/crates/clementinepond_decide/src/configuration/reduce.rs
@@ -82,7 +82,7 @@
             version,
             update,
             subtree,
-        } => update_received(state, &from, version, update, &subtree, effects),
+        } => update_received(state, &from, version, &update, &subtree, effects),
         ConfigurationMessage::Request { have } => answer_request(state, from, have, effects),
         ConfigurationMessage::Withdrawals { entries, subtree } => {
             withdrawal::received(state, from, &entries, &subtree, effects);
--- a/crates/clementinepond_decide/src/configuration/watch.rs
+++ b/crates/clementinepond_decide/src/configuration/watch.rs
@@ -39,8 +39,7 @@
     now: LocalTime,
     effects: &mut Vec<ConfigurationEffect>,
 ) {
-    let wants_read = state.booting || (state.relay && state.content_too_old);
-    if wants_read && state.read.is_due(now) {
+    if state.booting && state.read.is_due(now) {
         state.read = CallStage::Waiting {
             lapse: now + state.settings.answer_limit,
         };
@@ -50,17 +49,31 @@
         return;
     }
     let lapse = now + WATCH_LIMIT;
-    if !state.content_too_old && state.content_watch.is_due(now) {
+    if state.content_watch.is_due(now) {
         state.content_watch = CallStage::Waiting { lapse };
-        effects.push(ConfigurationEffect::WatchContent {
-            from: state.content_from.max(state.newest_version()),
-        });
+        effects.push(watch_content(state));
     }
-    if state.record.is_some() && state.record_watch.is_due(now) {
+    if state.record_watch.is_due(now) {
         state.record_watch = CallStage::Waiting { lapse };
-        effects.push(ConfigurationEffect::WatchRecord {
-            from: state.record_from,
-        });
+        effects.push(watch_record(state));
+    }
+}
+
+fn watch_content(state: &ConfigurationState) -> ConfigurationEffect {
+    if state.content_too_old {
+        return ConfigurationEffect::ListContent;
+    }
+    ConfigurationEffect::WatchContent {
+        from: state.content_from,
+    }
+}
+
+fn watch_record(state: &ConfigurationState) -> ConfigurationEffect {
+    if state.record_too_old {
+        return ConfigurationEffect::ListRecords;
+    }
+    ConfigurationEffect::WatchRecord {
+        from: state.record_from,
     }
 }
 
@@ -74,8 +87,6 @@
     let retry = match reply {
         ReadReply::Found(object) => {
             state.note_contact(now);
-            state.content_too_old = false;
-            state.content_from = state.content_from.max(object.version);
             // The platform's answer is newer than any peer's.
             state.boot_until = state.boot_until.min(now);
             take_from_platform(state, object, now, effects);
@@ -83,7 +94,6 @@
         }
         ReadReply::Missing => {
             state.note_contact(now);
-            state.content_too_old = false;
             now + state.settings.retry_period
         }
         ReadReply::Unavailable => now + state.settings.retry_period,
@@ -135,6 +145,7 @@
 
 fn note_watched(state: &mut ConfigurationState, version: ObjectVersion, now: LocalTime) {
     state.content_from = state.content_from.max(version);
+    state.content_too_old = false;
     if state.newest.is_some() && state.newest_version() <= version {
         state.confirmed = Some(now);
     }
@@ -151,15 +162,15 @@
         WatchAnswer::Changes { version, changes } => {
             state.note_contact(now);
             state.record_from = state.record_from.max(version);
+            state.record_too_old = false;
             for object in changes.into_iter().filter_map(|change| change.object) {
                 adopt_record(state, object, effects);
             }
             now
         }
         WatchAnswer::TooOld => {
-            state.record_unsure = true;
-            state.record_from = ObjectVersion::default();
-            now + state.settings.retry_period
+            state.record_too_old = true;
+            now
         }
         WatchAnswer::Unavailable => now + state.settings.retry_period,
     };
--- a/crates/clementinepond_decide/src/configuration/withdrawal.rs
+++ b/crates/clementinepond_decide/src/configuration/withdrawal.rs
@@ -242,7 +242,7 @@
     now: LocalTime,
     effects: &mut Vec<ConfigurationEffect>,
 ) {
-    if !state.relay || !state.record_work.is_due(now) {
+    if !state.relay || state.record_too_old || !state.record_work.is_due(now) {
         return;
     }
     let lapse = now + state.settings.answer_limit;
@@ -302,7 +302,6 @@
             recorded: Some(object.version),
         })
         .collect();
-    state.record_from = state.record_from.max(object.version);
     state.record = Some(object);
     let changed = merge(state, &entries, effects);
     if !changed.is_empty() {
--- a/crates/clementinepond_decide/src/roster/exchange.rs
+++ b/crates/clementinepond_decide/src/roster/exchange.rs
@@ -2,7 +2,6 @@
 
 use super::heard::{age_of, moment_of};
 use super::plan::{joinable_at, own_request};
-use super::rendezvous::{ranked_members, weight};
 use super::state::{AskedTable, SentProbe};
 use super::store::adopt_table;
 use super::{
@@ -19,15 +18,12 @@
 /// Probes remembered while their acknowledgement is out.
 const PROBE_LIMIT: usize = 64;
 
-/// Sends the probes of one round, when it is due.
+/// Sends the probes of one round.
 pub(super) fn drive_round(
     state: &mut RosterState,
     now: LocalTime,
     effects: &mut Vec<RosterEffect>,
 ) {
-    if now < state.next_round {
-        return;
-    }
     state.next_round = now + state.settings.heartbeat_period;
     state.round += 1;
     let targets = round_targets(state, now);
@@ -42,19 +38,10 @@
 /// Returns the members to probe this round.
 fn round_targets(state: &RosterState, now: LocalTime) -> BTreeSet<VmId> {
     let mut targets = BTreeSet::new();
-    let Some(object) = state.own_table() else {
-        return targets;
-    };
-    let mut others: Vec<_> = object
-        .value
-        .members
-        .keys()
-        .filter(|vm| **vm != state.own.vm)
-        .collect();
-    others.sort_by_cached_key(|vm| weight(state.own.vm.as_str(), vm));
+    let others = &state.probe_order;
     for step in 0..state.settings.fan_out.min(others.len()) {
         let index = (state.round * state.settings.fan_out + step) % others.len();
-        targets.extend(others.get(index).map(|vm| (*vm).clone()));
+        targets.extend(others.get(index).cloned());
     }
     targets.extend(candidate_peers(state, now));
     if state.relay {
@@ -65,11 +52,9 @@
 
 /// Returns the relay candidates, best first.
 pub(super) fn relay_candidates(state: &RosterState, now: LocalTime) -> Vec<VmId> {
-    let Some(object) = state.own_table() else {
-        return Vec::new();
-    };
-    ranked_members(&object.value, RELAY_KEY)
-        .into_iter()
+    state
+        .relay_order
+        .iter()
         .filter(|vm| state.is_live(vm, now))
         .take(state.settings.relay_candidates)
         .cloned()
@@ -144,9 +129,7 @@
         return;
     }
     let request = own_request(state, now);
-    let others = ranked_members(&object.value, RELAY_KEY)
-        .into_iter()
-        .filter(|vm| **vm != state.own.vm);
+    let others = state.relay_order.iter().filter(|vm| **vm != state.own.vm);
     for vm in others.take(state.settings.relay_candidates) {
         effects.push(RosterEffect::Send {
             to: vm.clone(),
--- a/crates/clementinepond_decide/src/roster/reduce.rs
+++ b/crates/clementinepond_decide/src/roster/reduce.rs
@@ -52,8 +52,10 @@
     consider_release(state, now);
     drive_table(state, now, effects);
     drive_shares(state, now, effects);
-    drive_round(state, now, effects);
-    announce_members(state, now, effects);
+    if now >= state.next_round {
+        drive_round(state, now, effects);
+        announce_members(state, now, effects);
+    }
 }
 
 fn start_shutdown(state: &mut RosterState, effects: &mut Vec<RosterEffect>) {
--- a/crates/clementinepond_decide/src/roster/store.rs
+++ b/crates/clementinepond_decide/src/roster/store.rs
@@ -5,7 +5,9 @@
 //! still take effect: parts that it releases stay unused, parts that it gains
 //! are not used yet.
 
+use super::exchange::RELAY_KEY;
 use super::plan::plan_table;
+use super::rendezvous::ranked_members;
 use super::state::PartRelease;
 use super::{MembershipStage, RosterEffect, RosterMutation, RosterState, RosterTable, UpdateNonce};
 use crate::port::{ReadReply, StoreReply, VersionedObject};
@@ -232,11 +234,25 @@
     state.rosters.insert(data_centre, object);
     if is_own {
         state.keeping.clear();
+        order_members(state);
         update_stage(state, now, effects);
         prune(state, now);
     }
 }
 
+/// Ranks the members for relay duty and for probes.
+fn order_members(state: &mut RosterState) {
+    let own = &state.own;
+    let Some(object) = state.rosters.get(&own.data_centre) else {
+        return;
+    };
+    let relays = ranked_members(&object.value, RELAY_KEY);
+    state.relay_order = relays.into_iter().cloned().collect();
+    let probes = ranked_members(&object.value, own.vm.as_str());
+    let others = probes.into_iter().filter(|vm| **vm != own.vm);
+    state.probe_order = others.cloned().collect();
+}
+
 fn learn_addresses(
     known: Option<&RosterTable>,
     table: &RosterTable,
