--- a/crates/clementinepond_daemon/src/admin/key.rs
+++ b/crates/clementinepond_daemon/src/admin/key.rs
@@ -1,9 +1,9 @@
 //! Handlers that give and withdraw keys.
 
 use super::AdminState;
-use super::change::{make_change, read_version, render_error};
+use super::change::{read_version, render_error, render_version};
 use super::credential::refuse;
-use super::store;
+use super::store::{self, StoreError};
 use crate::configuration::key_digest;
 use clementinepond_settings::fleet::{ConfigurationChange, KeyEntry};
 use clementinepond_types::{AccountId, KeyDigest};
@@ -82,6 +82,50 @@
             "the path names no key digest; copy it whole from the list of keys",
         );
     };
+    let expected = match read_version(request) {
+        Ok(expected) => expected,
+        Err(message) => {
+            return refuse(
+                response,
+                StatusCode::BAD_REQUEST,
+                "invalid_version",
+                &message,
+            );
+        }
+    };
     let change = ConfigurationChange::Key(digest, None);
-    make_change(state, request, change, response).await;
+    match store::change(&state.platform, expected, change).await {
+        Ok(stored) => render_version(stored.version, response),
+        Err(StoreError::Platform(_) | StoreError::Unknown) => {
+            withdraw_here(state, digest, response).await;
+        }
+        Err(error) => render_error(&error, response),
+    }
+}
+
+/// Withdraws a key on this VM while the platform is away; the other VMs learn
+/// it from this one, and the platform later.
+async fn withdraw_here(state: &AdminState, digest: KeyDigest, response: &mut Response) {
+    match state.node.withdraw(digest).await {
+        Some(Ok(copies)) => {
+            response.status_code(StatusCode::ACCEPTED);
+            response.render(Json(
+                json!({"digest": digest, "copies": copies, "stored": false}),
+            ));
+        }
+        Some(Err(limit)) => refuse(
+            response,
+            StatusCode::SERVICE_UNAVAILABLE,
+            "too_many_withdrawals",
+            &format!(
+                "{limit} withdrawn keys wait for the platform already; try again when it is back"
+            ),
+        ),
+        None => refuse(
+            response,
+            StatusCode::SERVICE_UNAVAILABLE,
+            "stopping",
+            "this VM is stopping; ask another VM",
+        ),
+    }
 }
--- a/crates/clementinepond_daemon/src/admin/mod.rs
+++ b/crates/clementinepond_daemon/src/admin/mod.rs
@@ -10,4 +10,3 @@
 
 pub(crate) use router::admin_router;
 pub(crate) use state::AdminState;
-pub(crate) use store::{CONFIGURATION_KIND, CONFIGURATION_NAME};
--- a/crates/clementinepond_daemon/src/admin/state.rs
+++ b/crates/clementinepond_daemon/src/admin/state.rs
@@ -22,5 +22,7 @@
     pub(crate) snapshot: watch::Receiver<Arc<ConfigurationSnapshot>>,
     pub(crate) metrics: Arc<MetricSet>,
     pub(crate) trace_log: Arc<TraceLog>,
+    /// Whether callers may be sent to this VM.
+    pub(crate) ready: watch::Receiver<bool>,
     pub(crate) stopping: CancellationToken,
 }
--- a/crates/clementinepond_daemon/src/admin/status.rs
+++ b/crates/clementinepond_daemon/src/admin/status.rs
@@ -18,8 +18,7 @@
     let Ok(state) = depot.get_typed::<AdminState>() else {
         return;
     };
-    let has_configuration = state.snapshot.borrow().version.get() > 0;
-    if has_configuration && !state.stopping.is_cancelled() {
+    if *state.ready.borrow() && !state.stopping.is_cancelled() {
         response.render(Text::Plain("ready\n"));
     } else {
         response.status_code(StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/clementinepond_daemon/src/admin/store.rs
+++ b/crates/clementinepond_daemon/src/admin/store.rs
@@ -7,9 +7,9 @@
 use derive_more::{Display, Error};
 
 /// Kind of the configuration object.
-pub(crate) const CONFIGURATION_KIND: &str = "configuration";
+const CONFIGURATION_KIND: &str = "configuration";
 /// Name of the configuration object.
-pub(crate) const CONFIGURATION_NAME: &str = "fleet";
+const CONFIGURATION_NAME: &str = "fleet";
 
 /// Reason for which a change was not stored.
 #[derive(Debug, Display, Error)]
--- a/crates/clementinepond_daemon/src/caller/admission.rs
+++ b/crates/clementinepond_daemon/src/caller/admission.rs
@@ -4,7 +4,7 @@
 use super::error_body::CallerError;
 use crate::configuration::{ConfigurationSnapshot, KeyLookup, find_key, key_digest};
 use bytes::Bytes;
-use clementinepond_types::RequestId;
+use clementinepond_types::{LocalTime, RequestId, TimeSpan};
 use salvo::Request;
 use salvo::http::StatusCode;
 use salvo::http::header::AUTHORIZATION;
@@ -20,13 +20,14 @@
 pub(crate) fn authenticate(
     request: &mut Request,
     snapshot: &ConfigurationSnapshot,
+    now: LocalTime,
 ) -> Result<KeyLookup, CallerError> {
     let header = request.headers_mut().remove(AUTHORIZATION);
     let key = header
         .as_ref()
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.strip_prefix("Bearer "));
-    let lookup = key.and_then(|key| find_key(snapshot, key_digest(key.trim())));
+    let lookup = key.and_then(|key| find_key(snapshot, key_digest(key.trim()), now));
     lookup.ok_or_else(|| {
         CallerError::not_run(
             StatusCode::UNAUTHORIZED,
@@ -44,7 +45,7 @@
             "stopping",
             "this VM is stopping; send the request again, the balancer names another VM",
         )
-        .with_retry_after(Some(clementinepond_types::TimeSpan::from_millis(200))));
+        .with_retry_after(Some(TimeSpan::from_millis(200))));
     }
     state.slots.clone().try_acquire_owned().map_err(|_| {
         CallerError::not_run(
@@ -52,7 +53,7 @@
             "overloaded",
             "this VM serves as many requests as it may; send the request again after Retry-After",
         )
-        .with_retry_after(Some(clementinepond_types::TimeSpan::from_secs(1)))
+        .with_retry_after(Some(TimeSpan::from_secs(1)))
     })
 }
 
--- a/crates/clementinepond_daemon/src/caller/answer.rs
+++ b/crates/clementinepond_daemon/src/caller/answer.rs
@@ -7,11 +7,12 @@
 use crate::node::{CallBody, CallSignal, CallerCall, NodeInput};
 use crate::telemetry::RequestTrace;
 use bytes::Bytes;
+use clementinepond_decide::claim::RecordedAnswer;
 use clementinepond_decide::request::{RequestEnd, RequestProfile};
 use clementinepond_types::KeyDigest;
 use futures_util::stream;
 use salvo::Response;
-use salvo::http::ResBody;
+use salvo::http::{ResBody, StatusCode};
 use std::convert::Infallible;
 use std::sync::Arc;
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
@@ -166,9 +167,7 @@
     response: &mut Response,
 ) -> Result<(), CallerError> {
     if let RequestEnd::Replayed { answer } = end {
-        set_header(response, OUTCOME_HEADER, CallerOutcome::Complete.name());
-        set_header(response, "content-type", "application/json");
-        response.body(ResBody::Once(Bytes::copy_from_slice(answer.as_bytes())));
+        render_replay(answer, response);
         return Ok(());
     }
     let outcome = match end {
@@ -191,6 +190,21 @@
     Ok(())
 }
 
+/// Renders the recorded answer of an earlier run.
+fn render_replay(answer: &RecordedAnswer, response: &mut Response) {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    response.status_code(status);
+    set_header(response, OUTCOME_HEADER, CallerOutcome::Complete.name());
+    set_header(response, "clementinepond-replayed", "true");
+    let content_type = answer
+        .headers
+        .iter()
+        .find(|(name, _)| &**name == "content-type")
+        .map_or("application/octet-stream", |(_, value)| value);
+    set_header(response, "content-type", content_type);
+    response.body(ResBody::Once(Bytes::copy_from_slice(&answer.body)));
+}
+
 /// Sends the head only once the first chunk is there, so that a refusal can
 /// still have a status of its own.
 async fn pass_stream(
--- a/crates/clementinepond_daemon/src/caller/error_body.rs
+++ b/crates/clementinepond_daemon/src/caller/error_body.rs
@@ -70,17 +70,22 @@
                 let (status, message) = refusal(*reason);
                 Self::not_run(status, code(*reason), message).with_retry_after(*retry_after)
             }
-            RequestEnd::Unknown { reason } => Self {
-                status: StatusCode::BAD_GATEWAY,
-                code: code(*reason),
-                message: "the request may have run and its answer is lost; check its effect before you send it again".into(),
-                outcome: CallerOutcome::Unknown,
-                retry_after: None,
-            },
+            RequestEnd::Unknown { reason } => {
+                let (status, message) = uncertainty(*reason);
+                Self {
+                    status,
+                    code: code(*reason),
+                    message: message.into(),
+                    outcome: CallerOutcome::Unknown,
+                    retry_after: None,
+                }
+            }
             _ => Self {
                 status: StatusCode::INTERNAL_SERVER_ERROR,
                 code: "answer_missing",
-                message: "the request ended without an answer; check its effect before you send it again".into(),
+                message:
+                    "the request ended without an answer; check its effect before you send it again"
+                        .into(),
                 outcome: CallerOutcome::Unknown,
                 retry_after: None,
             },
@@ -138,6 +143,10 @@
         EndReason::ClaimUnavailable => "claim_unavailable",
         EndReason::KeyReused => "key_reused",
         EndReason::AlreadyRan => "already_ran",
+        EndReason::AccountInactive => "account_inactive",
+        EndReason::KeyDate => "key_date",
+        EndReason::StillRunning => "still_running",
+        EndReason::OutcomeLost => "outcome_lost",
         EndReason::KeyWithdrawn => "key_withdrawn",
         EndReason::Timeout => "timeout",
         EndReason::Overloaded => "overloaded",
@@ -163,9 +172,13 @@
             StatusCode::UNPROCESSABLE_ENTITY,
             "the idempotency key was used for another request; use a new key",
         ),
-        EndReason::AlreadyRan => (
-            StatusCode::CONFLICT,
-            "the request with this idempotency key already ran and its answer is no longer held; do not send it again",
+        EndReason::AccountInactive => (
+            StatusCode::FORBIDDEN,
+            "the account is not active; ask the operators to enable it",
+        ),
+        EndReason::KeyDate => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "the idempotency key names a moment that is too old or in the future; check whether the request ran, and make a new key",
         ),
         EndReason::KeyWithdrawn => (
             StatusCode::UNAUTHORIZED,
@@ -177,6 +190,9 @@
         ),
         EndReason::NoEndpoint
         | EndReason::EndpointFailed
+        | EndReason::AlreadyRan
+        | EndReason::StillRunning
+        | EndReason::OutcomeLost
         | EndReason::RetriesExhausted
         | EndReason::Timeout
         | EndReason::Overloaded
@@ -186,3 +202,36 @@
         ),
     }
 }
+
+const fn uncertainty(reason: EndReason) -> (StatusCode, &'static str) {
+    match reason {
+        EndReason::AlreadyRan => (
+            StatusCode::CONFLICT,
+            "the request with this idempotency key already ran and its answer is no longer held; do not send it again",
+        ),
+        EndReason::StillRunning => (
+            StatusCode::CONFLICT,
+            "the request with this idempotency key is still running; ask again with the same key",
+        ),
+        EndReason::OutcomeLost => (
+            StatusCode::CONFLICT,
+            "the request with this idempotency key may have run; check its effect before you use a new key",
+        ),
+        EndReason::KeyWithdrawn => (
+            StatusCode::UNAUTHORIZED,
+            "the key was withdrawn while the request was running; ask the operators for a new one",
+        ),
+        EndReason::CrashesEndpoints => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "this request crashed the endpoints that ran it; change it or ask the operators to release it",
+        ),
+        EndReason::Timeout => (
+            StatusCode::GATEWAY_TIMEOUT,
+            "the request did not end in time and may have run; check its effect before you send it again",
+        ),
+        _ => (
+            StatusCode::BAD_GATEWAY,
+            "the request may have run and its answer is lost; check its effect before you send it again",
+        ),
+    }
+}
--- a/crates/clementinepond_daemon/src/caller/inference.rs
+++ b/crates/clementinepond_daemon/src/caller/inference.rs
@@ -7,12 +7,15 @@
 use super::parse::{ParsedCall, parse_call};
 use crate::configuration::KeyLookup;
 use crate::node::{CallBody, CallKind};
+use clementinepond_decide::claim::{BodyFingerprint, key_date};
+use clementinepond_decide::crash::RequestFingerprint;
 use clementinepond_decide::request::{IdempotencyKey, RequestProfile};
 use clementinepond_decide::route::{PrefixHash, RouteTarget};
 use clementinepond_types::{RequestId, TokenCount};
 use salvo::writing::Json;
 use salvo::{Depot, Request, Response, handler};
 use serde_json::json;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 const CHAT_PATH: &str = "/v1/chat/completions";
 const COMPLETION_PATH: &str = "/v1/completions";
@@ -37,7 +40,7 @@
         return;
     };
     let snapshot = state.snapshot();
-    if let Err(error) = authenticate(request, &snapshot) {
+    if let Err(error) = authenticate(request, &snapshot, state.clock.now()) {
         error.render(None, response);
         return;
     }
@@ -72,7 +75,7 @@
     response: &mut Response,
 ) -> Result<(), CallerError> {
     let snapshot = state.snapshot();
-    let lookup = authenticate(request, &snapshot)?;
+    let lookup = authenticate(request, &snapshot, state.clock.now())?;
     let idempotency = read_idempotency(request)?;
     let slot = take_slot(state)?;
     let body = read_body(state, request).await?;
@@ -125,24 +128,27 @@
             model: call.model.clone(),
             adapter: call.adapter.clone(),
         },
-        cost: TokenCount::new(call.prompt_tokens.saturating_add(call.answer_tokens)),
+        prompt: TokenCount::new(call.prompt_tokens),
+        output: TokenCount::new(call.answer_tokens),
         priority: lookup.profile.priority,
         repeatable: is_repeatable,
-        idempotency: idempotency.map(IdempotencyKey),
-        fingerprint: fingerprint(lookup.account.as_str(), call.model.as_str(), body),
+        idempotency: idempotency.map(|key| idempotency_key(key, body)),
+        fingerprint: RequestFingerprint::new(&lookup.account, &call.model, body),
         prefix: Some(PrefixHash::of_prompt(&call.prompt)),
-        prompt_tokens: call.prompt_tokens,
         admission_deadline: now + state.request.admission_wait,
         deadline: now + state.request.total_timeout,
     }
 }
 
-/// Hashes what makes two requests the same.
-pub(super) fn fingerprint(account: &str, target: &str, body: &[u8]) -> [u8; 32] {
-    let mut hasher = blake3::Hasher::new();
-    for part in [account.as_bytes(), target.as_bytes(), body] {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
+/// Describes the key that marks repeats of a call.
+pub(super) fn idempotency_key(key: Box<str>, body: &[u8]) -> IdempotencyKey {
+    let unix_time = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let unix_millis = u64::try_from(unix_time.as_millis()).unwrap_or(u64::MAX);
+    IdempotencyKey {
+        date: key_date(&key, unix_millis),
+        fingerprint: BodyFingerprint::of(body),
+        key,
     }
-    *hasher.finalize().as_bytes()
 }
--- a/crates/clementinepond_daemon/src/caller/service.rs
+++ b/crates/clementinepond_daemon/src/caller/service.rs
@@ -4,13 +4,14 @@
 use super::admission::{authenticate, new_request_id, read_body, read_idempotency, take_slot};
 use super::answer::{AnswerForm, answer};
 use super::error_body::CallerError;
-use super::inference::fingerprint;
-use crate::configuration::KeyLookup;
+use super::inference::idempotency_key;
+use crate::configuration::{ConfigurationSnapshot, KeyLookup};
 use crate::node::{CallBody, CallKind};
-use clementinepond_decide::request::{IdempotencyKey, RequestProfile};
+use clementinepond_decide::crash::RequestFingerprint;
+use clementinepond_decide::request::RequestProfile;
 use clementinepond_decide::route::RouteTarget;
 use clementinepond_settings::fleet::ServiceRoute;
-use clementinepond_types::{PriorityClass, RequestId, RouteName, TokenCount};
+use clementinepond_types::{LocalTime, NameError, PriorityClass, RequestId, RouteName, TokenCount};
 use salvo::http::header::{self, HeaderMap, HeaderName};
 use salvo::http::{Method, StatusCode};
 use salvo::{Depot, Request, Response, handler};
@@ -67,14 +68,21 @@
             "the service is unknown; correct its name in the path",
         ));
     };
-    let lookup = find_caller(route, request, &snapshot)?;
+    let lookup = find_caller(route, request, &snapshot, state.clock.now())?;
     let idempotency = read_idempotency(request)?;
     let slot = take_slot(state)?;
     let payload = read_body(state, request).await?;
     let path = service_path(request);
     let method = request.method().clone();
-    let account = lookup.as_ref().map_or("", |lookup| lookup.account.as_str());
-    let target = format!("{method} {name}{path}");
+    let call = [
+        method.as_str().as_bytes(),
+        b" ",
+        path.as_bytes(),
+        b"\n",
+        &payload,
+    ]
+    .concat();
+    let fingerprint = service_fingerprint(lookup.as_ref(), &name, &call)?;
     let is_repeatable = route.repeatable || is_safe(&method);
     let now = state.clock.now();
     let priority = lookup
@@ -83,13 +91,13 @@
     let profile = RequestProfile {
         account: lookup.as_ref().map(|lookup| lookup.account.clone()),
         target: RouteTarget::Service(name),
-        cost: TokenCount::new(route.cost_tokens),
+        prompt: TokenCount::new(route.cost_tokens),
+        output: TokenCount::ZERO,
         priority,
         repeatable: is_repeatable,
-        idempotency: idempotency.map(IdempotencyKey),
-        fingerprint: fingerprint(account, &target, &payload),
+        idempotency: idempotency.map(|key| idempotency_key(key, &call)),
+        fingerprint,
         prefix: None,
-        prompt_tokens: 0,
         admission_deadline: now + state.request.admission_wait,
         deadline: now + state.request.total_timeout,
     };
@@ -104,20 +112,41 @@
             body: payload,
         },
     };
-    let key = lookup.map(|lookup| lookup.digest);
+    let key = lookup.as_ref().map(|lookup| lookup.digest);
     answer(state, profile, key, body, AnswerForm::Whole, slot, response).await
 }
 
 fn find_caller(
     route: &ServiceRoute,
     request: &mut Request,
-    snapshot: &crate::configuration::ConfigurationSnapshot,
+    snapshot: &ConfigurationSnapshot,
+    now: LocalTime,
 ) -> Result<Option<KeyLookup>, CallerError> {
     if route.open {
         request.headers_mut().remove(header::AUTHORIZATION);
         return Ok(None);
     }
-    authenticate(request, snapshot).map(Some)
+    authenticate(request, snapshot, now).map(Some)
+}
+
+/// Hashes what makes two calls of a service the same.
+fn service_fingerprint(
+    lookup: Option<&KeyLookup>,
+    route: &RouteName,
+    call: &[u8],
+) -> Result<RequestFingerprint, CallerError> {
+    let account = lookup.map_or("open", |lookup| lookup.account.as_str());
+    let parsed = account.parse().and_then(|account| {
+        let target = route.as_str().parse()?;
+        Ok(RequestFingerprint::new(&account, &target, call))
+    });
+    parsed.map_err(|error: NameError| {
+        CallerError::not_run(
+            StatusCode::BAD_REQUEST,
+            "invalid_request",
+            &error.to_string(),
+        )
+    })
 }
 
 fn service_path(request: &Request) -> String {
--- a/crates/clementinepond_daemon/src/configuration/key.rs
+++ b/crates/clementinepond_daemon/src/configuration/key.rs
@@ -2,7 +2,7 @@
 
 use super::ConfigurationSnapshot;
 use clementinepond_settings::fleet::ClientAccount;
-use clementinepond_types::{AccountId, KeyDigest};
+use clementinepond_types::{AccountId, KeyDigest, LocalTime};
 use subtle::ConstantTimeEq;
 
 /// Context that keeps digests of keys apart from other hashes.
@@ -25,7 +25,14 @@
 }
 
 /// Finds the enabled account of a key; the digests are compared in constant time.
-pub(crate) fn find_key(snapshot: &ConfigurationSnapshot, digest: KeyDigest) -> Option<KeyLookup> {
+pub(crate) fn find_key(
+    snapshot: &ConfigurationSnapshot,
+    digest: KeyDigest,
+    now: LocalTime,
+) -> Option<KeyLookup> {
+    if now >= snapshot.key_deadline {
+        return None;
+    }
     let (stored, entry) = snapshot.configuration.keys.get_key_value(&digest)?;
     if !bool::from(stored.bytes().ct_eq(digest.bytes())) || snapshot.withdrawn.contains(&digest) {
         return None;
--- a/crates/clementinepond_daemon/src/configuration/snapshot.rs
+++ b/crates/clementinepond_daemon/src/configuration/snapshot.rs
@@ -5,10 +5,24 @@
 use std::collections::BTreeSet;
 
 /// One version of the configuration, with the keys withdrawn since.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(crate) struct ConfigurationSnapshot {
     pub(crate) version: ObjectVersion,
     pub(crate) configuration: FleetConfiguration,
     pub(crate) withdrawn: BTreeSet<KeyDigest>,
+    /// Moment after which no key is accepted.
+    pub(crate) key_deadline: LocalTime,
     pub(crate) applied: LocalTime,
 }
+
+impl Default for ConfigurationSnapshot {
+    fn default() -> Self {
+        Self {
+            version: ObjectVersion::default(),
+            configuration: FleetConfiguration::default(),
+            withdrawn: BTreeSet::new(),
+            key_deadline: LocalTime::NEVER,
+            applied: LocalTime::ORIGIN,
+        }
+    }
+}
--- a/crates/clementinepond_daemon/src/daemon/error.rs
+++ b/crates/clementinepond_daemon/src/daemon/error.rs
@@ -16,6 +16,14 @@
         /// Message of the operating system or library.
         problem: Box<str>,
     },
+    /// Messages between VMs cannot be received.
+    #[display("peer.listen: {address}: {problem}; free the address or set another one")]
+    Peer {
+        /// The address.
+        address: SocketAddr,
+        /// Message of the library.
+        problem: Box<str>,
+    },
     /// The certificate cannot be used.
     #[display("caller.tls: {problem}; set PEM files of a certificate and its key")]
     Certificate {
--- a/crates/clementinepond_daemon/src/daemon/mod.rs
+++ b/crates/clementinepond_daemon/src/daemon/mod.rs
@@ -2,6 +2,7 @@
 
 mod error;
 mod listener;
+mod node_settings;
 mod running;
 
 pub use error::DaemonError;
--- a/crates/clementinepond_daemon/src/daemon/running.rs
+++ b/crates/clementinepond_daemon/src/daemon/running.rs
@@ -1,27 +1,31 @@
 //! A VM that serves.
 
 use super::listener::ListenerPlan;
+use super::node_settings::node_settings;
 use super::{DaemonError, listener::OpenListener};
 use crate::admin::{AdminState, admin_router};
 use crate::caller::{CallerState, caller_router};
 use crate::clock::LocalClock;
-use crate::configuration::{ConfigurationEdge, ConfigurationSnapshot, run_configuration};
+use crate::configuration::{ConfigurationInForce, ConfigurationSnapshot};
 use crate::endpoint::{EndpointEdge, run_reports};
 use crate::node::{NodeEdges, NodeHandle, run_node};
-use crate::platform::PlatformClient;
+use crate::peer::{PeerEdge, PeerListener, open_peer_listener};
+use crate::platform::{PlatformClient, PlatformWorker};
 use crate::telemetry::{MetricSet, TraceLog, TraceSource, open_traces};
-use clementinepond_decide::node::{NodeSettings, NodeState};
-use clementinepond_decide::request::RequestPolicy;
-use clementinepond_decide::route::RouteSettings;
+use clementinepond_decide::node::{NodeEvent, NodeState};
 use clementinepond_settings::vm::VmSettings;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+/// Longest wait for other VMs and the platform to take over what this VM holds.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// A VM that serves; it stops gracefully when its token is cancelled.
 #[derive(Debug)]
 pub struct RunningDaemon {
@@ -30,6 +34,9 @@
     listeners: Vec<JoinHandle<()>>,
     tasks: CancellationToken,
     traces: TraceSource,
+    node: NodeHandle,
+    released: CancellationToken,
+    peer: PeerListener,
 }
 
 /// What the listeners and tasks share.
@@ -41,6 +48,9 @@
     metrics: Arc<MetricSet>,
     trace_log: Arc<TraceLog>,
     traces: TraceSource,
+    peer: PeerListener,
+    released: CancellationToken,
+    ready: watch::Receiver<bool>,
 }
 
 impl RunningDaemon {
@@ -71,6 +81,9 @@
             listeners: vec![callers.task, operators.task],
             tasks,
             traces: parts.traces,
+            node: parts.node,
+            released: parts.released,
+            peer: parts.peer,
         })
     }
 
@@ -86,6 +99,12 @@
         self.admin_address
     }
 
+    /// Address for other VMs.
+    #[must_use]
+    pub const fn peer_address(&self) -> SocketAddr {
+        self.peer.address
+    }
+
     /// Waits until every running request has ended after a stop.
     pub async fn wait(self) {
         for listener in self.listeners {
@@ -93,7 +112,15 @@
                 log::error!("event=listener_failed error=\"{error}\"");
             }
         }
+        self.node.send_event(NodeEvent::ShutdownStarted);
+        if tokio::time::timeout(RELEASE_TIMEOUT, self.released.cancelled())
+            .await
+            .is_err()
+        {
+            log::warn!("event=release_incomplete remedy=\"others take over after the hold-off\"");
+        }
         self.tasks.cancel();
+        drop(self.peer);
         let traces = self.traces.provider;
         let flush = tokio::task::spawn_blocking(move || traces.shutdown());
         if let Ok(Err(error)) = flush.await {
@@ -110,30 +137,45 @@
     let clock = LocalClock::start();
     let (input_sender, inputs) = mpsc::unbounded_channel();
     let node = NodeHandle::new(input_sender);
-    let (snapshot_sender, snapshot) = watch::channel(Arc::new(ConfigurationSnapshot::default()));
+    let (snapshot_sender, snapshot) = watch::channel(Arc::default());
     let (address_sender, addresses) = watch::channel(Arc::default());
     let endpoints = EndpointEdge::new(clock, settings.endpoint.clone(), addresses);
-    let platform = PlatformClient::new(settings.platform.clone());
     let trace_log = Arc::new(TraceLog::new(settings.telemetry.trace_history));
     let (metrics, traces) = open_telemetry(settings, &trace_log)?;
+    let platform = PlatformClient::new(settings.platform.clone(), Arc::clone(&metrics));
+    let peer = open_peer(settings, &node, &metrics)?;
+    let address = settings.peer.advertise.unwrap_or(peer.address);
+    let released = CancellationToken::new();
+    let (ready_sender, ready) = watch::channel(false);
     let edges = NodeEdges {
         clock,
         endpoints: endpoints.clone(),
+        peers: PeerEdge::new(
+            settings.vm.clone(),
+            &settings.peer.secret,
+            Arc::clone(&metrics),
+        ),
+        platform: PlatformWorker {
+            client: platform.clone(),
+            node: node.clone(),
+            clock,
+            data_centre: settings.data_centre.clone(),
+        },
+        in_force: ConfigurationInForce {
+            clock,
+            data_centre: settings.data_centre.clone(),
+            snapshot: snapshot_sender,
+            addresses: address_sender,
+            metrics: Arc::clone(&metrics),
+        },
         random: ChaCha8Rng::from_rng(&mut rand::rng()),
         handle: node.clone(),
+        released: released.clone(),
+        ready: ready_sender,
     };
-    let state = NodeState::new(node_settings(settings));
+    let state = NodeState::new(node_settings(settings, address), clock.now());
     tokio::spawn(run_node(state, edges, inputs, tasks.clone()));
     tokio::spawn(run_reports(endpoints, node.clone(), tasks.clone()));
-    let configuration = ConfigurationEdge {
-        clock,
-        platform: platform.clone(),
-        node: node.clone(),
-        snapshot: snapshot_sender,
-        addresses: address_sender,
-        metrics: Arc::clone(&metrics),
-    };
-    tokio::spawn(run_configuration(configuration, tasks.clone()));
     Ok(DaemonParts {
         clock,
         node,
@@ -142,6 +184,22 @@
         metrics,
         trace_log,
         traces,
+        peer,
+        released,
+        ready,
+    })
+}
+
+fn open_peer(
+    settings: &VmSettings,
+    node: &NodeHandle,
+    metrics: &Arc<MetricSet>,
+) -> Result<PeerListener, DaemonError> {
+    open_peer_listener(&settings.vm, &settings.peer, node, metrics).map_err(|error| {
+        DaemonError::Peer {
+            address: settings.peer.listen,
+            problem: error.to_string().into(),
+        }
     })
 }
 
@@ -158,18 +216,6 @@
     Ok((Arc::new(metrics), traces))
 }
 
-fn node_settings(settings: &VmSettings) -> NodeSettings {
-    NodeSettings {
-        vm: settings.vm.clone(),
-        data_centre: settings.data_centre.clone(),
-        request: RequestPolicy {
-            attempt_limit: settings.request.attempt_limit,
-            retry_percent: settings.request.retry_percent,
-        },
-        route: RouteSettings::default(),
-    }
-}
-
 async fn open_callers(
     settings: &VmSettings,
     parts: &DaemonParts,
@@ -210,6 +256,7 @@
         snapshot: parts.snapshot.clone(),
         metrics: Arc::clone(&parts.metrics),
         trace_log: Arc::clone(&parts.trace_log),
+        ready: parts.ready.clone(),
         stopping: stopping.clone(),
     };
     let plan = ListenerPlan {
--- a/crates/clementinepond_daemon/src/endpoint/attempt.rs
+++ b/crates/clementinepond_daemon/src/endpoint/attempt.rs
@@ -4,6 +4,7 @@
 use crate::node::{CallBody, CallKind, CallSignal, NodeHandle};
 use crate::telemetry::{SpanRecorder, end_span};
 use bytes::Bytes;
+use clementinepond_decide::claim::RecordedAnswer;
 use clementinepond_decide::node::NodeEvent;
 use clementinepond_decide::request::{AttemptOutcome, DispatchOrder, RequestEvent};
 use http_body_util::Full;
@@ -142,14 +143,28 @@
         );
     }
 
+    /// Keeps the answer of a call that may run only once for its repeats.
+    pub(super) fn record(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+        body: &Bytes,
+    ) -> Option<Box<RecordedAnswer>> {
+        if self.body.is_repeatable {
+            return None;
+        }
+        let content_type = content_type(headers);
+        Some(Box::new(RecordedAnswer {
+            status: status.as_u16(),
+            headers: vec![("content-type".into(), content_type.into())],
+            body: body.to_vec().into(),
+        }))
+    }
+
     pub(super) async fn pass_whole(&self, status: StatusCode, headers: &HeaderMap, body: Bytes) {
-        let content_type = headers
-            .get(CONTENT_TYPE)
-            .and_then(|value| value.to_str().ok())
-            .unwrap_or("application/octet-stream");
         let signal = CallSignal::Whole {
             status,
-            content_type: content_type.into(),
+            content_type: content_type(headers).into(),
             body,
         };
         // The caller may have gone; its end is reported by `run`.
@@ -157,6 +172,13 @@
     }
 }
 
+fn content_type(headers: &HeaderMap) -> &str {
+    headers
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("application/octet-stream")
+}
+
 /// Outcome of an attempt that passed nothing on and may have run.
 pub(super) const BROKEN: AttemptOutcome = AttemptOutcome::Broken {
     delivered_tokens: 0,
--- a/crates/clementinepond_daemon/src/endpoint/inference.rs
+++ b/crates/clementinepond_daemon/src/endpoint/inference.rs
@@ -124,9 +124,12 @@
             self.note_crossed();
             return BROKEN;
         }
+        let record = self.record(parts.status, &parts.headers, &body);
         self.pass_whole(parts.status, &parts.headers, body).await;
-        let used_tokens = head.usage.map_or(0, |usage| usage.total_tokens);
-        AttemptOutcome::Complete { used_tokens }
+        AttemptOutcome::Complete {
+            used_tokens: head.usage.map_or(0, |usage| usage.total_tokens),
+            record,
+        }
     }
 
     async fn pass_stream(&self, response: Response<Incoming>) -> AttemptOutcome {
@@ -140,7 +143,10 @@
                 return AttemptOutcome::Broken { delivered_tokens };
             };
             if event.data == STREAM_END {
-                return AttemptOutcome::Complete { used_tokens };
+                return AttemptOutcome::Complete {
+                    used_tokens,
+                    record: None,
+                };
             }
             let Ok(head) = serde_json::from_str::<AnswerHead>(&event.data) else {
                 return AttemptOutcome::Broken { delivered_tokens };
--- a/crates/clementinepond_daemon/src/endpoint/mod.rs
+++ b/crates/clementinepond_daemon/src/endpoint/mod.rs
@@ -3,8 +3,10 @@
 mod attempt;
 mod edge;
 mod inference;
+mod order;
 mod report;
 mod service;
 
 pub(crate) use edge::{AddressBook, EndpointEdge};
+pub(crate) use order::PlanOrder;
 pub(crate) use report::run_reports;
--- a/crates/clementinepond_daemon/src/endpoint/report.rs
+++ b/crates/clementinepond_daemon/src/endpoint/report.rs
@@ -5,9 +5,10 @@
 use crate::http::{read_json, send};
 use crate::node::NodeHandle;
 use bytes::Bytes;
-use clementinepond_decide::node::NodeEvent;
-use clementinepond_decide::route::{EndpointReport, ModelReplica, PrefixHash, ReplicaState};
-use clementinepond_types::{AdapterId, EndpointId, FencingNumber, MemorySize, ModelId, TimeSpan};
+use clementinepond_decide::node::{EndpointObservation, NodeEvent};
+use clementinepond_decide::plan::EndpointReport;
+use clementinepond_decide::route::PrefixHash;
+use clementinepond_types::{EndpointId, TimeSpan};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use serde::Deserialize;
@@ -19,36 +20,12 @@
 /// Report as an endpoint sends it.
 #[derive(Debug, Deserialize)]
 struct ReportBody {
-    #[serde(default)]
-    incarnation: u64,
-    #[serde(default)]
-    report_number: u64,
+    #[serde(flatten)]
+    report: EndpointReport,
     #[serde(default)]
     running: u32,
     #[serde(default)]
     queued: u32,
-    #[serde(default)]
-    draining: bool,
-    #[serde(default)]
-    fencing_number: FencingNumber,
-    #[serde(default)]
-    models: Vec<ReplicaBody>,
-    #[serde(default)]
-    adapters: Vec<AdapterBody>,
-}
-
-#[derive(Debug, Deserialize)]
-struct ReplicaBody {
-    model: ModelId,
-    version: Box<str>,
-    state: ReplicaState,
-    memory_mib: MemorySize,
-}
-
-#[derive(Debug, Deserialize)]
-struct AdapterBody {
-    adapter: AdapterId,
-    model: ModelId,
 }
 
 /// Cache events as an endpoint sends them.
@@ -72,30 +49,6 @@
     Evicted,
 }
 
-impl From<ReportBody> for EndpointReport {
-    fn from(body: ReportBody) -> Self {
-        let models = body.models.into_iter().map(|replica| {
-            let state = ModelReplica {
-                version: replica.version,
-                state: replica.state,
-                memory_mib: replica.memory_mib,
-            };
-            (replica.model, state)
-        });
-        let adapters = body.adapters.into_iter();
-        Self {
-            incarnation: body.incarnation,
-            report_number: body.report_number,
-            running: body.running,
-            queued: body.queued,
-            draining: body.draining,
-            fencing_number: body.fencing_number,
-            models: models.collect(),
-            adapters: adapters.map(|entry| (entry.adapter, entry.model)).collect(),
-        }
-    }
-}
-
 /// Reads the reports of all endpoints until the token is cancelled.
 pub(crate) async fn run_reports(
     edge: EndpointEdge,
@@ -137,10 +90,17 @@
     endpoint: EndpointId,
     position: u64,
 ) -> (EndpointId, u64) {
+    let asked_at = edge.clock.now();
     if let Some(body) = fetch::<ReportBody>(&edge, &endpoint, "/report").await {
+        let observation = EndpointObservation {
+            report: body.report,
+            running: body.running,
+            queued: body.queued,
+            asked_at,
+        };
         node.send_event(NodeEvent::EndpointReported {
             endpoint: endpoint.clone(),
-            report: body.into(),
+            observation: Box::new(observation),
         });
     }
     let path = format!("/cache-events?from={position}&wait-ms=0");
--- a/crates/clementinepond_daemon/src/endpoint/service.rs
+++ b/crates/clementinepond_daemon/src/endpoint/service.rs
@@ -36,9 +36,13 @@
         if parts.status.is_server_error() && self.body.is_repeatable {
             return BROKEN;
         }
-        self.pass_whole(parts.status, &parts.headers, whole.to_bytes())
-            .await;
-        AttemptOutcome::Complete { used_tokens: 0 }
+        let body = whole.to_bytes();
+        let record = self.record(parts.status, &parts.headers, &body);
+        self.pass_whole(parts.status, &parts.headers, body).await;
+        AttemptOutcome::Complete {
+            used_tokens: 0,
+            record,
+        }
     }
 
     fn service_request(&self, address: SocketAddr) -> Option<Request<Full<Bytes>>> {
--- a/crates/clementinepond_daemon/src/lib.rs
+++ b/crates/clementinepond_daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod endpoint;
 mod http;
 mod node;
+mod peer;
 mod platform;
 mod telemetry;
 
--- a/crates/clementinepond_daemon/src/node/handle.rs
+++ b/crates/clementinepond_daemon/src/node/handle.rs
@@ -1,8 +1,8 @@
 //! Access to the node task.
 
-use super::{NodeInput, NodeStatus};
+use super::{NodeInput, NodeStatus, WithdrawalAnswer};
 use clementinepond_decide::node::NodeEvent;
-use clementinepond_types::RequestTicket;
+use clementinepond_types::{KeyDigest, RequestTicket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::sync::{mpsc, oneshot};
@@ -37,6 +37,14 @@
         self.send(NodeInput::Event(event));
     }
 
+    /// Withdraws a key on this VM; returns the copies held by other VMs, or
+    /// the limit when too many keys are kept.
+    pub(crate) async fn withdraw(&self, key: KeyDigest) -> Option<WithdrawalAnswer> {
+        let (answer, receiver) = oneshot::channel();
+        self.send(NodeInput::Withdrawal { key, answer });
+        receiver.await.ok()
+    }
+
     pub(crate) async fn status(&self) -> Option<NodeStatus> {
         let (sender, receiver) = oneshot::channel();
         self.send(NodeInput::Status(sender));
--- a/crates/clementinepond_daemon/src/node/task.rs
+++ b/crates/clementinepond_daemon/src/node/task.rs
@@ -1,17 +1,21 @@
 //! The loop of the node task.
 
-use super::input::EndpointStatus;
-use super::{CallerCall, NodeHandle, NodeInput, NodeStatus};
+use super::{CallerCall, NodeHandle, NodeInput};
 use crate::clock::LocalClock;
+use crate::configuration::ConfigurationInForce;
 use crate::endpoint::EndpointEdge;
+use crate::peer::PeerEdge;
+use crate::platform::PlatformWorker;
+use clementinepond_decide::configuration::ConfigurationEvent;
 use clementinepond_decide::node::{NodeEffect, NodeEvent, NodeState, reduce};
-use clementinepond_decide::request::{DispatchOrder, RequestEnd, RequestEvent};
-use clementinepond_types::{EndpointId, KeyDigest, RequestTicket};
+use clementinepond_decide::plan::PlanStatus;
+use clementinepond_decide::request::RequestEvent;
+use clementinepond_types::{KeyDigest, RequestTicket};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
 /// Interval between two ticks of the reducer.
@@ -21,20 +25,33 @@
 pub(crate) struct NodeEdges {
     pub(crate) clock: LocalClock,
     pub(crate) endpoints: EndpointEdge,
+    pub(crate) peers: PeerEdge,
+    pub(crate) platform: PlatformWorker,
+    pub(crate) in_force: ConfigurationInForce,
     pub(crate) random: ChaCha8Rng,
     pub(crate) handle: NodeHandle,
+    /// Cancelled once the VM holds nothing any more.
+    pub(crate) released: CancellationToken,
+    /// Whether callers may be sent to this VM.
+    pub(crate) ready: watch::Sender<bool>,
 }
 
 /// A request that runs, with the key that it came with.
-struct RunningCall {
-    call: CallerCall,
-    key: Option<KeyDigest>,
+pub(super) struct RunningCall {
+    pub(super) call: CallerCall,
+    pub(super) key: Option<KeyDigest>,
 }
 
-struct NodeTask {
-    state: NodeState,
-    edges: NodeEdges,
-    calls: HashMap<RequestTicket, RunningCall>,
+/// Answer to an operator who withdrew a key.
+pub(crate) type WithdrawalAnswer = Result<usize, usize>;
+
+pub(super) struct NodeTask {
+    pub(super) state: NodeState,
+    pub(super) edges: NodeEdges,
+    pub(super) calls: HashMap<RequestTicket, RunningCall>,
+    pub(super) withdrawals: HashMap<u64, oneshot::Sender<WithdrawalAnswer>>,
+    pub(super) next_withdrawal: u64,
+    pub(super) plan: Option<Box<PlanStatus>>,
 }
 
 /// Runs the reducer until the token is cancelled.
@@ -48,6 +65,9 @@
         state,
         edges,
         calls: HashMap::new(),
+        withdrawals: HashMap::new(),
+        next_withdrawal: 0,
+        plan: None,
     };
     let mut ticks = tokio::time::interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
@@ -74,27 +94,29 @@
                 call,
             } => {
                 self.calls.insert(ticket, RunningCall { call, key });
-                let seed = self.edges.random.random();
                 self.reduce(NodeEvent::Request(RequestEvent::Arrived {
                     ticket,
                     profile,
-                    seed,
                 }));
             }
             NodeInput::Status(sender) => {
                 // The asker may have gone.
                 let _ = sender.send(self.status());
             }
-            NodeInput::KeysWithdrawn(keys) => self.withdraw(&keys),
+            NodeInput::Withdrawal { key, answer } => self.ask_withdrawal(key, answer),
         }
     }
 
     fn tick(&mut self) {
         let seed = self.edges.random.random();
         self.reduce(NodeEvent::Tick { seed });
+        let is_ready = self.state.is_ready();
+        self.edges
+            .ready
+            .send_if_modified(|ready| std::mem::replace(ready, is_ready) != is_ready);
     }
 
-    fn reduce(&mut self, event: NodeEvent) {
+    pub(super) fn reduce(&mut self, event: NodeEvent) {
         let now = self.edges.clock.now();
         for effect in reduce(&mut self.state, event, now) {
             self.carry_out(effect);
@@ -106,57 +128,28 @@
             NodeEffect::Dispatch(order) => self.dispatch(order),
             NodeEffect::Cancel { ticket, endpoint } => self.cancel(ticket, endpoint),
             NodeEffect::Finish { ticket, end } => self.finish(ticket, end),
+            NodeEffect::Send { to, message } => self.edges.peers.send(to, *message),
+            NodeEffect::SendAddress { address, message } => {
+                self.edges.peers.send_address(address, *message);
+            }
+            NodeEffect::Roster(effect) => self.carry_roster(effect),
+            NodeEffect::Configuration(effect) => self.carry_configuration(effect),
+            NodeEffect::Claim(effect) => self.edges.platform.claim(effect),
+            NodeEffect::Crash(effect) => self.carry_crash(effect),
+            NodeEffect::Plan(effect) => self.carry_plan(effect),
+            NodeEffect::Released => self.edges.released.cancel(),
         }
     }
 
-    fn dispatch(&mut self, order: DispatchOrder) {
-        let Some(running) = self.calls.get(&order.ticket) else {
-            return;
-        };
-        self.edges
-            .endpoints
-            .start_attempt(order, &running.call, &self.edges.handle);
-    }
-
-    fn cancel(&mut self, ticket: RequestTicket, endpoint: Option<EndpointId>) {
-        let Some(running) = self.calls.get(&ticket) else {
-            return;
-        };
-        running.call.cancellation.cancel();
-        if let Some(endpoint) = endpoint {
-            let request_id = running.call.body.request_id.clone();
-            self.edges.endpoints.cancel(endpoint, request_id);
-        }
-    }
-
-    fn finish(&mut self, ticket: RequestTicket, end: RequestEnd) {
-        if let Some(running) = self.calls.remove(&ticket) {
-            running.call.cancellation.cancel();
-            // The caller may have gone.
-            let _ = running.call.end.send(end);
-        }
-    }
-
-    fn withdraw(&mut self, keys: &[KeyDigest]) {
-        let tickets: Vec<RequestTicket> = self
-            .calls
-            .iter()
-            .filter(|(_, running)| running.key.is_some_and(|key| keys.contains(&key)))
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        for ticket in tickets {
-            log::info!("event=request_ended ticket={ticket} reason=key_withdrawn");
-            self.reduce(NodeEvent::Request(RequestEvent::KeyWithdrawn { ticket }));
-        }
-    }
-
-    fn status(&self) -> NodeStatus {
-        let endpoints = self.state.routes.endpoints.iter();
-        NodeStatus {
-            running_requests: self.state.requests.len(),
-            endpoints: endpoints
-                .map(|(id, state)| EndpointStatus::new(id, state))
-                .collect(),
-        }
+    fn ask_withdrawal(&mut self, key: KeyDigest, answer: oneshot::Sender<WithdrawalAnswer>) {
+        self.next_withdrawal += 1;
+        let request = self.next_withdrawal;
+        self.withdrawals.insert(request, answer);
+        self.reduce(NodeEvent::Configuration(
+            ConfigurationEvent::WithdrawalAsked {
+                request,
+                keys: vec![key],
+            },
+        ));
     }
 }
--- a/crates/clementinepond_daemon/src/platform/client.rs
+++ b/crates/clementinepond_daemon/src/platform/client.rs
@@ -1,7 +1,8 @@
 //! Calls of the object API.
 
-use super::object::{ChangePage, ListedVm, PlatformObject, VmPage};
+use super::object::{ListedVm, ObjectPage, PlatformObject, VmPage};
 use crate::http::{HttpClient, HttpFailure, new_client, read_json, send};
+use crate::telemetry::MetricSet;
 use bytes::Bytes;
 use clementinepond_settings::vm::PlatformSettings;
 use clementinepond_types::{ObjectVersion, TimeSpan};
@@ -11,6 +12,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Serialize;
 use serde_json::Value;
+use std::sync::Arc;
 
 /// Why a call of the platform gave no answer of use.
 #[derive(Debug, Display, Error, Clone, PartialEq)]
@@ -37,13 +39,15 @@
 pub(crate) struct PlatformClient {
     client: HttpClient,
     settings: PlatformSettings,
+    metrics: Arc<MetricSet>,
 }
 
 impl PlatformClient {
-    pub(crate) fn new(settings: PlatformSettings) -> Self {
+    pub(crate) fn new(settings: PlatformSettings, metrics: Arc<MetricSet>) -> Self {
         Self {
             client: new_client(settings.timeout),
             settings,
+            metrics,
         }
     }
 
@@ -92,7 +96,7 @@
         &self,
         kind: &str,
         from: ObjectVersion,
-    ) -> Result<ChangePage, PlatformError> {
+    ) -> Result<ObjectPage, PlatformError> {
         let wait = self.settings.watch_wait;
         let path = format!("/watch/{kind}?from={from}&wait-ms={}", wait.millis());
         let request = self.request(Method::GET, &path, Bytes::new())?;
@@ -106,6 +110,17 @@
         }
     }
 
+    /// Lists the objects of a kind.
+    pub(crate) async fn list(&self, kind: &str) -> Result<ObjectPage, PlatformError> {
+        let response = self
+            .call(Method::GET, &format!("/objects/{kind}"), Bytes::new())
+            .await?;
+        match response.status() {
+            StatusCode::OK => self.json(response).await,
+            status => Err(PlatformError::Refused(status)),
+        }
+    }
+
     /// Reads the lagging list of VMs.
     pub(crate) async fn list_vms(&self) -> Result<Vec<ListedVm>, PlatformError> {
         let response = self.call(Method::GET, "/vms", Bytes::new()).await?;
@@ -133,6 +148,7 @@
         path: &str,
         body: Bytes,
     ) -> Result<Request<Full<Bytes>>, PlatformError> {
+        self.metrics.note_platform_call(call_name(&method, path));
         Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.settings.address))
@@ -152,6 +168,16 @@
     }
 }
 
+fn call_name(method: &Method, path: &str) -> &'static str {
+    if path.starts_with("/watch/") {
+        "watch"
+    } else if *method == Method::GET {
+        "read"
+    } else {
+        "write"
+    }
+}
+
 fn object_path(kind: &str, name: &str) -> String {
     format!("/objects/{kind}/{}", name.replace('/', "%2F"))
 }
--- a/crates/clementinepond_daemon/src/platform/mod.rs
+++ b/crates/clementinepond_daemon/src/platform/mod.rs
@@ -2,6 +2,8 @@
 
 mod client;
 mod object;
+mod reply;
+mod work;
 
 pub(crate) use client::{PlatformClient, PlatformError};
-pub(crate) use object::{ListedVm, PlatformObject, VmPresence};
+pub(crate) use work::PlatformWorker;
--- a/crates/clementinepond_daemon/src/platform/object.rs
+++ b/crates/clementinepond_daemon/src/platform/object.rs
@@ -1,5 +1,6 @@
 //! Objects and lists of the platform.
 
+use clementinepond_decide::roster::VmPresence;
 use clementinepond_types::{DataCentreId, ObjectVersion, VmId};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -12,21 +13,12 @@
     pub(crate) value: Value,
 }
 
-/// Answer of a watch.
+/// Objects or changes, and the version up to which they are complete.
 #[derive(Debug, Deserialize)]
-pub(crate) struct ChangePage {
+pub(crate) struct ObjectPage {
     pub(crate) version: ObjectVersion,
-    pub(crate) changes: Vec<PlatformObject>,
-}
-
-/// Whether the platform believes that a VM runs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub(crate) enum VmPresence {
-    /// It runs.
-    Live,
-    /// It was told to stop.
-    Leaving,
+    #[serde(alias = "changes")]
+    pub(crate) objects: Vec<PlatformObject>,
 }
 
 /// One VM of the lagging list.
--- a/crates/clementinepond_daemon/src/telemetry/metric_set.rs
+++ b/crates/clementinepond_daemon/src/telemetry/metric_set.rs
@@ -15,6 +15,10 @@
     first_token: Histogram<f64>,
     duration: Histogram<f64>,
     configuration_version: Gauge<u64>,
+    peer_sent: Counter<u64>,
+    peer_received: Counter<u64>,
+    peer_dropped: Counter<u64>,
+    platform_calls: Counter<u64>,
 }
 
 impl MetricSet {
@@ -35,6 +39,14 @@
             duration: meter
                 .f64_histogram("clementinepond_request_seconds")
                 .build(),
+            peer_sent: meter.u64_counter("clementinepond_peer_sent_bytes").build(),
+            peer_received: meter
+                .u64_counter("clementinepond_peer_received_bytes")
+                .build(),
+            peer_dropped: meter
+                .u64_counter("clementinepond_peer_dropped_messages")
+                .build(),
+            platform_calls: meter.u64_counter("clementinepond_platform_calls").build(),
             configuration_version: meter
                 .u64_gauge("clementinepond_configuration_version")
                 .build(),
@@ -60,6 +72,22 @@
         self.configuration_version.record(version, &[]);
     }
 
+    pub(crate) fn note_peer_sent(&self, bytes: usize) {
+        self.peer_sent.add(bytes as u64, &[]);
+    }
+
+    pub(crate) fn note_peer_received(&self, bytes: usize) {
+        self.peer_received.add(bytes as u64, &[]);
+    }
+
+    pub(crate) fn note_peer_dropped(&self) {
+        self.peer_dropped.add(1, &[]);
+    }
+
+    pub(crate) fn note_platform_call(&self, call: &'static str) {
+        self.platform_calls.add(1, &[KeyValue::new("call", call)]);
+    }
+
     /// Returns all values in the usual text form.
     pub(crate) fn text(&self) -> String {
         let mut buffer = Vec::new();
--- a/crates/clementinepond_decide/src/claim/event.rs
+++ b/crates/clementinepond_decide/src/claim/event.rs
@@ -93,6 +93,8 @@
     },
     /// Time passed.
     Tick,
+    /// The data centres that own shards changed.
+    DataCentresChanged(Vec<DataCentreId>),
     /// This VM is to hand its shards over and stop.
     Release,
 }
--- a/crates/clementinepond_decide/src/claim/reduce.rs
+++ b/crates/clementinepond_decide/src/claim/reduce.rs
@@ -63,6 +63,13 @@
         } => store_replied(state, shard, write, reply, now),
         ClaimEvent::ReadReplied { shard, reply } => read_replied(state, shard, reply, now),
         ClaimEvent::Tick => tick(state, now),
+        ClaimEvent::DataCentresChanged(data_centres) => {
+            if state.settings.data_centres == data_centres {
+                return Vec::new();
+            }
+            state.settings.data_centres = data_centres;
+            assign(state, now)
+        }
         ClaimEvent::Release => release(state, now),
     }
 }
--- a/crates/clementinepond_decide/src/limit/event.rs
+++ b/crates/clementinepond_decide/src/limit/event.rs
@@ -25,6 +25,12 @@
     pub const fn new(value: u64) -> Self {
         Self(value)
     }
+
+    /// Returns the plain number.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
 }
 
 /// Share of every limit of the fleet, in parts of 1,024 times 1,024.
--- a/crates/clementinepond_decide/src/limit/state.rs
+++ b/crates/clementinepond_decide/src/limit/state.rs
@@ -146,6 +146,12 @@
         self.rights.home(self.accounts.get(account)?)
     }
 
+    /// Returns whether this VM may use and lend what it holds.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_started() && self.table_version.is_some()
+    }
+
     pub(super) fn next_channel_id(&mut self) -> ChannelId {
         self.next_channel = self.next_channel.saturating_add(1);
         ChannelId {
--- /dev/null
+++ b/crates/clementinepond_decide/src/node/claim_part.rs
@@ -0,0 +1,80 @@
+//! Claims of keyed requests.
+
+use super::NodeEffect;
+use super::run::NodeRun;
+use crate::claim::{self, ClaimEffect, ClaimEvent, ClaimRefusal, ClaimTicket, UnknownReason};
+use crate::request::{EndReason, RequestEnd, RequestEvent};
+use clementinepond_types::{RequestTicket, TimeSpan};
+
+/// Time after which a caller may ask again for a claim.
+const CLAIM_RETRY: TimeSpan = TimeSpan::from_secs(1);
+
+impl NodeRun<'_> {
+    pub(super) fn take_claim(&mut self, event: ClaimEvent) {
+        let effects = claim::reduce(&mut self.state.claim, event, self.now);
+        for effect in effects {
+            self.carry_claim(effect);
+        }
+    }
+
+    fn carry_claim(&mut self, effect: ClaimEffect) {
+        match effect {
+            ClaimEffect::Granted { ticket, deadline } => {
+                self.follow_request(RequestEvent::ClaimGranted {
+                    ticket: request_ticket(ticket),
+                    deadline,
+                });
+            }
+            ClaimEffect::Refused { ticket, reason } => self.stop(ticket, refusal(reason)),
+            ClaimEffect::Replay { ticket, answer } => self.stop(
+                ticket,
+                answer.map_or(
+                    RequestEnd::Unknown {
+                        reason: EndReason::AlreadyRan,
+                    },
+                    |answer| RequestEnd::Replayed {
+                        answer: Box::new(answer),
+                    },
+                ),
+            ),
+            ClaimEffect::Unknown { ticket, reason } => self.stop(
+                ticket,
+                RequestEnd::Unknown {
+                    reason: match reason {
+                        UnknownReason::StillRunning => EndReason::StillRunning,
+                        UnknownReason::OutcomeLost => EndReason::OutcomeLost,
+                    },
+                },
+            ),
+            ClaimEffect::Send { to, message } => self.send(to, message),
+            other => self.effects.push(NodeEffect::Claim(other)),
+        }
+    }
+
+    fn stop(&mut self, ticket: ClaimTicket, end: RequestEnd) {
+        self.follow_request(RequestEvent::Stopped {
+            ticket: request_ticket(ticket),
+            end,
+        });
+    }
+}
+
+const fn request_ticket(ticket: ClaimTicket) -> RequestTicket {
+    RequestTicket::new(ticket.get())
+}
+
+const fn refusal(reason: ClaimRefusal) -> RequestEnd {
+    let (reason, retry_after) = match reason {
+        ClaimRefusal::FingerprintMismatch => (EndReason::KeyReused, None),
+        ClaimRefusal::KeyTooOld | ClaimRefusal::KeyFromFuture => (EndReason::KeyDate, None),
+        ClaimRefusal::Full
+        | ClaimRefusal::Quarantined
+        | ClaimRefusal::OwnerUnreachable
+        | ClaimRefusal::DeadlinePassed
+        | ClaimRefusal::Abandoned => (EndReason::ClaimUnavailable, Some(CLAIM_RETRY)),
+    };
+    RequestEnd::NotRun {
+        reason,
+        retry_after,
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_decide/src/node/crash_part.rs
@@ -0,0 +1,58 @@
+//! The crash guard.
+
+use super::NodeEffect;
+use super::run::NodeRun;
+use crate::crash::{self, CrashEffect, CrashEvent, CrashRefusal};
+use crate::request::EndReason;
+use clementinepond_types::{EndpointId, TimeSpan};
+
+/// Time without a report after which an endpoint counts as lost.
+const LOST_TIMEOUT: TimeSpan = TimeSpan::from_secs(3);
+
+impl NodeRun<'_> {
+    pub(super) fn take_crash(&mut self, event: CrashEvent) {
+        let effects = crash::reduce(&mut self.state.crash, event, self.now);
+        for effect in effects {
+            self.carry_crash(effect);
+        }
+    }
+
+    fn carry_crash(&mut self, effect: CrashEffect) {
+        match effect {
+            CrashEffect::Pass { ticket } => self.dispatch(ticket, None),
+            CrashEffect::RunAlone { ticket, endpoint } => self.dispatch(ticket, Some(endpoint)),
+            CrashEffect::Wait { .. } => {}
+            CrashEffect::Refused {
+                ticket,
+                retry_after,
+                reason,
+            } => {
+                let reason = match reason {
+                    CrashRefusal::Poison => EndReason::CrashesEndpoints,
+                    CrashRefusal::Crowded => EndReason::Overloaded,
+                };
+                self.refuse_run(ticket, reason, Some(retry_after));
+            }
+            CrashEffect::Send { to, message } => self.send(to, message),
+            other => self.effects.push(NodeEffect::Crash(other)),
+        }
+    }
+
+    /// Reports endpoints that fell silent.
+    pub(super) fn note_lost_endpoints(&mut self) {
+        let silent: Vec<EndpointId> = self
+            .state
+            .routes
+            .endpoints
+            .iter()
+            .filter(|(id, _)| !self.state.lost.contains(*id))
+            .filter(|(_, state)| state.report.is_some())
+            .filter(|(_, state)| self.now.since(state.reported) > LOST_TIMEOUT)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for endpoint in silent {
+            self.state.lost.insert(endpoint.clone());
+            self.take_crash(CrashEvent::EndpointLost { endpoint });
+        }
+    }
+}
--- a/crates/clementinepond_decide/src/node/effect.rs
+++ b/crates/clementinepond_decide/src/node/effect.rs
@@ -1,7 +1,13 @@
 //! What a VM asks of its edges.
 
+use super::PeerMessage;
+use crate::claim::ClaimEffect;
+use crate::configuration::ConfigurationEffect;
+use crate::crash::CrashEffect;
+use crate::plan::PlanEffect;
 use crate::request::{DispatchOrder, RequestEnd};
-use clementinepond_types::{EndpointId, RequestTicket};
+use crate::roster::RosterEffect;
+use clementinepond_types::{EndpointId, RequestTicket, VmId};
 
 /// What a VM asks of its edges.
 #[derive(Debug, Clone)]
@@ -22,4 +28,30 @@
         /// The end.
         end: RequestEnd,
     },
+    /// Send a message to another VM.
+    Send {
+        /// Receiver.
+        to: VmId,
+        /// Message.
+        message: Box<PeerMessage>,
+    },
+    /// Send a message to an address whose VM is not known.
+    SendAddress {
+        /// Address.
+        address: Box<str>,
+        /// Message.
+        message: Box<PeerMessage>,
+    },
+    /// Work for the edge of the roster.
+    Roster(RosterEffect),
+    /// Work for the edge of the configuration.
+    Configuration(ConfigurationEffect),
+    /// Work for the edge of claims.
+    Claim(ClaimEffect),
+    /// Work for the edge of the crash guard.
+    Crash(CrashEffect),
+    /// Work for the edge of placement.
+    Plan(PlanEffect),
+    /// The VM holds nothing any more and may stop.
+    Released,
 }
--- /dev/null
+++ b/crates/clementinepond_decide/src/node/limit_part.rs
@@ -0,0 +1,151 @@
+//! Limits and the roster's parts that they rest on.
+
+use super::NodeEvent;
+use super::run::NodeRun;
+use super::state::PartsStop;
+use crate::limit::{
+    self, LimitEffect, LimitEvent, RefusalReason, RemoteCentre, RosterView, TicketId,
+};
+use crate::request::{EndReason, RequestEnd, RequestEvent};
+use crate::roster::{RosterEvent, UsableParts};
+use clementinepond_types::{LocalTime, PartCount, RequestTicket, TimeSpan};
+
+impl NodeRun<'_> {
+    pub(super) fn take_limit(&mut self, event: LimitEvent) {
+        let effects = limit::reduce(&mut self.state.limit, event, self.now);
+        for effect in effects {
+            self.carry_limit(effect);
+        }
+    }
+
+    fn carry_limit(&mut self, effect: LimitEffect) {
+        match effect {
+            LimitEffect::Admitted { ticket, deadline } => {
+                let deadline = deadline.min(self.parts_deadline());
+                self.follow_request(RequestEvent::Admitted {
+                    ticket: request_ticket(ticket),
+                    deadline,
+                });
+            }
+            LimitEffect::Refused {
+                ticket,
+                reason,
+                retry_after,
+            } => self.follow_request(RequestEvent::Stopped {
+                ticket: request_ticket(ticket),
+                end: refusal(reason, retry_after),
+            }),
+            LimitEffect::Send { to, message } => self.send(to, message),
+            LimitEffect::Released => {
+                self.state.is_released = true;
+                self.stop_parts();
+            }
+        }
+    }
+
+    fn parts_deadline(&self) -> LocalTime {
+        self.state
+            .usable
+            .as_ref()
+            .map_or(self.now, |usable| usable.deadline)
+    }
+
+    /// Takes in the parts that the roster lets this VM use.
+    pub(super) fn use_parts(&mut self, usable: UsableParts) {
+        let is_new = self
+            .state
+            .usable
+            .as_ref()
+            .is_none_or(|held| held.change != usable.change);
+        if is_new {
+            self.state.stop = Some(PartsStop {
+                change: usable.change,
+                deadline: self.now + self.state.longest_grant(),
+            });
+        }
+        self.state.usable = Some(usable);
+        self.renew_view();
+    }
+
+    /// Stops the use of parts whose deadline has passed.
+    pub(super) fn expire_parts(&mut self) {
+        let is_expired = self
+            .state
+            .usable
+            .as_ref()
+            .is_some_and(|usable| usable.deadline <= self.now);
+        let is_used = self
+            .state
+            .view
+            .as_ref()
+            .is_some_and(|view| view.parts > PartCount::new(0));
+        if is_expired && is_used {
+            self.renew_view();
+        }
+    }
+
+    /// Tells the roster once no grant on stopped parts is left.
+    pub(super) fn stop_parts(&mut self) {
+        let Some(stop) = self.state.stop else {
+            return;
+        };
+        if self.now >= stop.deadline || self.state.is_released {
+            self.state.stop = None;
+            let change = stop.change;
+            self.follow(NodeEvent::Roster(RosterEvent::PartsStopped { change }));
+        }
+    }
+
+    /// Tells the limits about parts and members when they changed.
+    pub(super) fn renew_view(&mut self) {
+        let Some(view) = self.roster_view() else {
+            return;
+        };
+        if self.state.view.as_ref() == Some(&view) {
+            return;
+        }
+        self.state.view = Some(view.clone());
+        self.take_limit(LimitEvent::PartsChanged(view));
+    }
+
+    fn roster_view(&self) -> Option<RosterView> {
+        let table = self.state.roster.own_table()?;
+        let usable = self.state.usable.as_ref()?;
+        let is_usable = usable.deadline > self.now;
+        let own = &self.state.data_centre;
+        let remote = self.state.roster.tables().iter();
+        Some(RosterView {
+            epoch: table.value.epoch,
+            parts: if is_usable {
+                usable.parts
+            } else {
+                PartCount::new(0)
+            },
+            share: usable.share,
+            members: table.value.members.keys().cloned().collect(),
+            remote: remote
+                .filter(|(data_centre, _)| *data_centre != own)
+                .map(|(data_centre, table)| RemoteCentre {
+                    data_centre: data_centre.clone(),
+                    members: table.value.members.keys().cloned().collect(),
+                })
+                .collect(),
+        })
+    }
+}
+
+const fn request_ticket(ticket: TicketId) -> RequestTicket {
+    RequestTicket::new(ticket.get())
+}
+
+const fn refusal(reason: RefusalReason, retry_after: Option<TimeSpan>) -> RequestEnd {
+    let reason = match reason {
+        RefusalReason::OverRate | RefusalReason::OutOfReach => EndReason::RateLimit,
+        RefusalReason::LargerThanBurst { .. } => EndReason::LargerThanBurst,
+        RefusalReason::NoAccount => EndReason::AccountInactive,
+    };
+    RequestEnd::NotRun {
+        reason,
+        retry_after,
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_decide/src/node/plan_part.rs
@@ -0,0 +1,68 @@
+//! Placement and the demand that it follows.
+
+use super::NodeEffect;
+use super::run::NodeRun;
+use crate::plan::{self, EndpointSpec, PlanEvent};
+use crate::route::ReplicaState;
+use clementinepond_types::{DataCentreId, EndpointId, ModelId, VmId};
+use std::collections::{BTreeMap, BTreeSet};
+
+impl NodeRun<'_> {
+    pub(super) fn take_plan(&mut self, event: PlanEvent) {
+        let effects = plan::reduce(&mut self.state.plan, event, self.now);
+        let effects = effects.into_iter().map(NodeEffect::Plan);
+        self.effects.extend(effects);
+    }
+
+    /// Tells placement which engines of the data centre are configured.
+    pub(super) fn list_engines(&mut self, engines: BTreeMap<EndpointId, EndpointSpec>) {
+        let listed: BTreeSet<EndpointId> = engines.keys().cloned().collect();
+        let gone: Vec<EndpointId> = self.state.listed.difference(&listed).cloned().collect();
+        for endpoint in gone {
+            self.take_plan(PlanEvent::EndpointGone { endpoint });
+        }
+        for (endpoint, spec) in engines {
+            self.take_plan(PlanEvent::EndpointListed { endpoint, spec });
+        }
+        self.state.listed = listed;
+    }
+
+    /// Sends the demand counted here to the holder of the plan, and lets the
+    /// holder add up what it has got.
+    pub(super) fn report_demand(&mut self) {
+        let Some(report) = self.state.demand.close_window(self.now) else {
+            return;
+        };
+        if let Some(holder) = self.plan_holder() {
+            self.send(holder, report);
+        }
+        self.observe_peers();
+        if !self.state.plan.holds(self.now) {
+            return;
+        }
+        let totals = self.state.demand.totals(self.now);
+        for (model, load) in totals {
+            self.take_plan(PlanEvent::DemandObserved { model, load });
+        }
+    }
+
+    fn plan_holder(&self) -> Option<VmId> {
+        self.state.plan.holder().cloned()
+    }
+
+    /// Tells placement which models other data centres have ready.
+    fn observe_peers(&mut self) {
+        let mut ready: BTreeMap<DataCentreId, BTreeSet<ModelId>> = BTreeMap::new();
+        let own = &self.state.data_centre;
+        for state in self.state.routes.endpoints.values() {
+            if state.profile.data_centre == *own || !self.state.routes.is_fresh(state, self.now) {
+                continue;
+            }
+            let models = ready.entry(state.profile.data_centre.clone()).or_default();
+            let replicas = state.report.iter().flat_map(|report| &report.models);
+            let replicas = replicas.filter(|(_, replica)| replica.state == ReplicaState::Ready);
+            models.extend(replicas.map(|(model, _)| model.clone()));
+        }
+        self.take_plan(PlanEvent::PeersObserved { ready });
+    }
+}
--- a/crates/clementinepond_decide/src/node/reduce.rs
+++ b/crates/clementinepond_decide/src/node/reduce.rs
@@ -1,161 +1,107 @@
 //! The function from an event to effects.
 
-use super::{NodeEffect, NodeEvent, NodeState};
-use crate::request::{
-    self, AttemptNumber, AttemptOutcome, DispatchOrder, RequestEffect, RequestEvent, RequestStage,
-};
-use crate::route::{PrefixHash, RouteError, RouteQuery};
-use clementinepond_types::{EndpointId, LocalTime, RequestTicket};
+use super::run::NodeRun;
+use super::{EndpointObservation, FleetView, NodeEffect, NodeEvent, NodeState, PeerMessage};
+use crate::claim::ClaimEvent;
+use crate::configuration::ConfigurationEvent;
+use crate::crash::{CrashEvent, EndpointIncarnation};
+use crate::limit::LimitEvent;
+use crate::plan::PlanEvent;
+use crate::request::RequestEvent;
+use crate::roster::RosterEvent;
+use crate::route::{EndpointReport, ModelReplica, PrefixHash, ReplicaState};
+use clementinepond_types::{EndpointId, LocalTime, PartCount, TimeSpan, VmId};
 use std::collections::VecDeque;
 
+/// Interval between two ticks of the parts that need few.
+const SLOW_TICK_INTERVAL: TimeSpan = TimeSpan::from_millis(100);
+
 /// Takes one event and returns what the edges must do.
 pub fn reduce(state: &mut NodeState, event: NodeEvent, now: LocalTime) -> Vec<NodeEffect> {
     let mut run = NodeRun {
         state,
         now,
-        pending: VecDeque::from([event]),
+        pending: VecDeque::new(),
         effects: Vec::new(),
     };
+    run.expire_parts();
+    run.pending.push_back(event);
     while let Some(event) = run.pending.pop_front() {
         run.take(event);
     }
     run.effects
 }
 
-/// One event and all that follows from it at once.
-struct NodeRun<'a> {
-    state: &'a mut NodeState,
-    now: LocalTime,
-    pending: VecDeque<NodeEvent>,
-    effects: Vec<NodeEffect>,
-}
-
 impl NodeRun<'_> {
     fn take(&mut self, event: NodeEvent) {
         match event {
             NodeEvent::Request(event) => self.take_request(event),
-            NodeEvent::EndpointsConfigured(profiles) => self.state.routes.configure(profiles),
-            NodeEvent::EndpointReported { endpoint, report } => {
-                self.state.routes.take_report(&endpoint, report, self.now);
-            }
+            NodeEvent::Received { from, message } => self.receive(from, *message),
+            NodeEvent::Roster(event) => self.take_roster(event),
+            NodeEvent::Configuration(event) => self.take_configuration(event),
+            NodeEvent::Claim(event) => self.take_claim(event),
+            NodeEvent::Crash(event) => self.take_crash(event),
+            NodeEvent::Plan(event) => self.take_plan(event),
+            NodeEvent::FleetChanged(view) => self.change_fleet(*view),
+            NodeEvent::EndpointReported {
+                endpoint,
+                observation,
+            } => self.take_report(&endpoint, *observation),
             NodeEvent::CacheChanged {
                 endpoint,
                 sequence,
                 prefix,
                 stored,
             } => self.take_cache(&endpoint, sequence, prefix, stored),
-            NodeEvent::Tick { seed } => self.take_request(RequestEvent::Tick { seed }),
-        }
-    }
-
-    fn take_request(&mut self, event: RequestEvent) {
-        if let RequestEvent::AttemptEnded {
-            ticket,
-            attempt,
-            outcome,
-        } = &event
-        {
-            self.note_attempt(*ticket, *attempt, outcome);
-        }
-        let effects = request::reduce(&mut self.state.requests, event, self.now);
-        for effect in effects {
-            self.carry(effect);
+            NodeEvent::Tick { seed } => self.tick(seed),
+            NodeEvent::ShutdownStarted => self.shut_down(),
         }
     }
 
-    /// Tells the route table that an endpoint ended an attempt.
-    fn note_attempt(
-        &mut self,
-        ticket: RequestTicket,
-        attempt: AttemptNumber,
-        outcome: &AttemptOutcome,
-    ) {
-        let endpoint = self
-            .state
-            .requests
-            .get(ticket)
-            .and_then(RequestStage::dispatched)
-            .filter(|stage| stage.attempt == attempt)
-            .and_then(|stage| stage.endpoint.clone());
-        let Some(endpoint) = endpoint else {
-            return;
-        };
-        let failed = matches!(
-            outcome,
-            AttemptOutcome::NotSent | AttemptOutcome::Broken { .. }
-        );
-        self.state.routes.note_ended(&endpoint, failed, self.now);
-    }
-
-    fn carry(&mut self, effect: RequestEffect) {
-        match effect {
-            RequestEffect::AskGuard { ticket, .. } => {
-                self.follow(RequestEvent::GuardPassed { ticket });
-            }
-            RequestEffect::AskLimit { ticket, profile } => self.follow(RequestEvent::Admitted {
-                ticket,
-                deadline: profile.deadline,
-            }),
-            RequestEffect::AskClaim { ticket, profile } => {
-                self.follow(RequestEvent::ClaimGranted {
-                    ticket,
-                    deadline: profile.deadline,
-                });
+    fn receive(&mut self, from: VmId, message: PeerMessage) {
+        match message {
+            PeerMessage::Roster(message) => {
+                self.take_roster(RosterEvent::Received { from, message });
             }
-            RequestEffect::Dispatch {
-                ticket,
-                attempt,
-                query,
-                resume_from,
-                deadline,
-            } => self.dispatch(ticket, attempt, &query, resume_from, deadline),
-            RequestEffect::Cancel { ticket, endpoint } => self.cancel(ticket, endpoint),
-            RequestEffect::Finish { ticket, end } => {
-                self.effects.push(NodeEffect::Finish { ticket, end });
+            PeerMessage::Configuration(message) => {
+                self.take_configuration(ConfigurationEvent::Received { from, message });
             }
-            RequestEffect::Progress { .. }
-            | RequestEffect::Settle { .. }
-            | RequestEffect::CloseClaim { .. } => {}
+            PeerMessage::Limit(message) => self.take_limit(LimitEvent::Received { from, message }),
+            PeerMessage::Claim(message) => self.take_claim(ClaimEvent::Received { from, message }),
+            PeerMessage::Crash(message) => self.take_crash(CrashEvent::Received { from, message }),
+            PeerMessage::Demand(report) => self.state.demand.take(from, report, self.now),
         }
     }
 
-    fn cancel(&mut self, ticket: RequestTicket, endpoint: Option<EndpointId>) {
-        if let Some(endpoint) = &endpoint {
-            self.state.routes.note_ended(endpoint, false, self.now);
-        }
-        self.effects.push(NodeEffect::Cancel { ticket, endpoint });
+    fn change_fleet(&mut self, view: FleetView) {
+        self.state.routes.configure(view.endpoints);
+        self.state.demand.configure(view.capacities);
+        self.take_claim(ClaimEvent::DataCentresChanged(view.data_centres));
+        self.take_limit(LimitEvent::AccountsChanged(view.accounts));
+        self.state.expects_share = view.share > PartCount::new(0);
+        self.take_roster(RosterEvent::ShareTarget(view.share));
+        self.list_engines(view.engines);
+        self.take_plan(PlanEvent::CatalogueChanged {
+            catalogue: Box::new(view.catalogue),
+        });
     }
 
-    fn follow(&mut self, event: RequestEvent) {
-        self.pending.push_back(NodeEvent::Request(event));
-    }
-
-    fn dispatch(
-        &mut self,
-        ticket: RequestTicket,
-        attempt: AttemptNumber,
-        query: &RouteQuery,
-        resume_from: u64,
-        deadline: LocalTime,
-    ) {
-        match self.state.routes.choose(query, self.now) {
-            Ok(endpoint) => {
-                self.state.routes.note_sent(&endpoint, query.prefix);
-                self.state.requests.note_endpoint(ticket, endpoint.clone());
-                self.effects.push(NodeEffect::Dispatch(DispatchOrder {
-                    ticket,
-                    attempt,
-                    endpoint,
-                    resume_from,
-                    deadline,
-                }));
-            }
-            Err(RouteError::NoReplica { retry_after }) => {
-                self.follow(RequestEvent::NoEndpoint {
-                    ticket,
-                    retry_after,
-                });
-            }
+    fn take_report(&mut self, endpoint: &EndpointId, observation: EndpointObservation) {
+        let incarnation = observation.report.incarnation;
+        let report = route_report(&observation);
+        if !self.state.routes.take_report(endpoint, report, self.now) {
+            return;
+        }
+        self.state.lost.remove(endpoint);
+        self.take_crash(CrashEvent::EndpointSeen {
+            endpoint: endpoint.clone(),
+            incarnation: EndpointIncarnation::new(incarnation.get()),
+            asked_at: observation.asked_at,
+        });
+        if self.state.listed.contains(endpoint) {
+            self.take_plan(PlanEvent::ReportReceived {
+                report: observation.report,
+            });
         }
     }
 
@@ -177,4 +123,53 @@
             state.prefixes.remove(prefix);
         }
     }
+
+    fn tick(&mut self, seed: u64) {
+        self.take_request(RequestEvent::Tick { seed });
+        self.take_limit(LimitEvent::Tick);
+        self.take_claim(ClaimEvent::Tick);
+        if self.now < self.state.slow_tick {
+            return;
+        }
+        self.state.slow_tick = self.now + SLOW_TICK_INTERVAL;
+        self.stop_parts();
+        self.take_roster(RosterEvent::Tick);
+        self.take_configuration(ConfigurationEvent::Tick);
+        self.note_lost_endpoints();
+        self.take_crash(CrashEvent::Tick);
+        self.report_demand();
+        self.take_plan(PlanEvent::Tick { seed });
+    }
+
+    fn shut_down(&mut self) {
+        self.take_limit(LimitEvent::Release);
+        self.take_claim(ClaimEvent::Release);
+        self.take_plan(PlanEvent::Release);
+        self.take_roster(RosterEvent::ShutdownStarted);
+    }
+}
+
+fn route_report(observation: &EndpointObservation) -> EndpointReport {
+    let report = &observation.report;
+    let models = report.models.iter().map(|entry| {
+        let replica = ModelReplica {
+            version: entry.version.to_string().into(),
+            state: ReplicaState::from(entry.state),
+            memory_mib: entry.memory_mib,
+        };
+        (entry.model.clone(), replica)
+    });
+    let adapters = report.adapters.iter();
+    EndpointReport {
+        incarnation: report.incarnation.get(),
+        report_number: report.report_number.get(),
+        running: observation.running,
+        queued: observation.queued,
+        draining: report.draining,
+        fencing_number: report.fencing_number,
+        models: models.collect(),
+        adapters: adapters
+            .map(|entry| (entry.adapter.clone(), entry.model.clone()))
+            .collect(),
+    }
 }
--- a/crates/clementinepond_decide/src/node/state.rs
+++ b/crates/clementinepond_decide/src/node/state.rs
@@ -1,38 +1,128 @@
 //! Everything that a VM remembers.
 
-use crate::request::{RequestPolicy, RequestTable};
-use crate::route::{RouteSettings, RouteTable};
-use clementinepond_types::{DataCentreId, VmId};
+use super::{DemandTable, NodeSettings};
+use crate::claim::ClaimState;
+use crate::configuration::ConfigurationState;
+use crate::crash::{CrashState, CrashTicket};
+use crate::limit::{LimitSettings, LimitState, RosterView};
+use crate::plan::PlanState;
+use crate::request::{AttemptNumber, RequestTable};
+use crate::roster::{RosterState, UsableParts};
+use crate::route::{RouteQuery, RouteTable};
+use clementinepond_types::{
+    DataCentreId, EndpointId, Epoch, LocalTime, PartCount, RequestTicket, TimeSpan, VmId,
+};
+use std::collections::{BTreeMap, BTreeSet};
 
-/// Settings of all parts.
+/// A dispatch that waits for the crash guard.
 #[derive(Debug, Clone)]
-pub struct NodeSettings {
-    /// Name of the VM.
-    pub vm: VmId,
-    /// Data centre of the VM.
-    pub data_centre: DataCentreId,
-    /// Limits on attempts.
-    pub request: RequestPolicy,
-    /// Settings of routing.
-    pub route: RouteSettings,
+pub(super) struct PendingRun {
+    pub(super) ticket: RequestTicket,
+    pub(super) attempt: AttemptNumber,
+    pub(super) query: RouteQuery,
+    pub(super) resume_from: u64,
+    pub(super) deadline: LocalTime,
+}
+
+/// The moment at which grants on stopped parts have lapsed.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PartsStop {
+    pub(super) change: u64,
+    pub(super) deadline: LocalTime,
 }
 
 /// Everything that a VM remembers.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct NodeState {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Data centre of the VM.
+    pub data_centre: DataCentreId,
     /// Requests that run.
     pub requests: RequestTable,
     /// Endpoints.
     pub routes: RouteTable,
+    /// The roster.
+    pub roster: RosterState,
+    /// The configuration.
+    pub configuration: ConfigurationState,
+    /// Limits.
+    pub limit: LimitState,
+    /// Claims.
+    pub claim: ClaimState,
+    /// The crash guard.
+    pub crash: CrashState,
+    /// Placement.
+    pub plan: PlanState,
+    /// Demand for models.
+    pub demand: DemandTable,
+    pub(super) limit_settings: LimitSettings,
+    pub(super) usable: Option<UsableParts>,
+    pub(super) view: Option<RosterView>,
+    pub(super) stop: Option<PartsStop>,
+    pub(super) is_released: bool,
+    pub(super) expects_share: bool,
+    pub(super) epochs: BTreeMap<DataCentreId, Epoch>,
+    pub(super) runs: BTreeMap<CrashTicket, PendingRun>,
+    pub(super) run_of: BTreeMap<RequestTicket, CrashTicket>,
+    pub(super) next_run: u64,
+    pub(super) lost: BTreeSet<EndpointId>,
+    pub(super) listed: BTreeSet<EndpointId>,
+    pub(super) slow_tick: LocalTime,
 }
 
 impl NodeState {
-    /// Starts empty.
+    /// Starts without any knowledge.
     #[must_use]
-    pub fn new(settings: NodeSettings) -> Self {
+    pub fn new(settings: NodeSettings, now: LocalTime) -> Self {
+        let identity = settings.identity();
+        let incarnation = settings.claim_incarnation();
+        let vm = settings.vm;
+        let data_centre = settings.data_centre;
         Self {
             requests: RequestTable::new(settings.request),
-            routes: RouteTable::new(settings.route, settings.data_centre),
+            routes: RouteTable::new(settings.route, data_centre.clone()),
+            roster: RosterState::new(identity, settings.roster, now),
+            configuration: ConfigurationState::new(vm.clone(), settings.configuration, now),
+            limit: LimitState::new(settings.limit.clone(), vm.clone(), settings.incarnation),
+            claim: ClaimState::new(settings.claim, vm.clone(), data_centre.clone(), incarnation),
+            crash: CrashState::new(settings.crash, vm.clone()),
+            plan: PlanState::new(settings.plan, vm.clone(), data_centre.clone()),
+            demand: DemandTable::default(),
+            limit_settings: settings.limit,
+            usable: None,
+            view: None,
+            stop: None,
+            is_released: false,
+            expects_share: true,
+            epochs: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            run_of: BTreeMap::new(),
+            next_run: 0,
+            lost: BTreeSet::new(),
+            listed: BTreeSet::new(),
+            slow_tick: now,
+            vm,
+            data_centre,
         }
     }
+
+    /// Returns whether callers may be sent to this VM.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let has_share = self
+            .view
+            .as_ref()
+            .is_some_and(|view| view.share > PartCount::new(0) || !self.expects_share);
+        has_share && self.limit.is_ready()
+    }
+
+    /// Returns how long grants on this VM's parts may live.
+    pub(super) fn longest_grant(&self) -> TimeSpan {
+        let members = self
+            .roster
+            .own_table()
+            .map_or(1, |table| table.value.members.len());
+        self.limit_settings.longest_grant(members)
+    }
 }
--- a/crates/clementinepond_decide/src/plan/report.rs
+++ b/crates/clementinepond_decide/src/plan/report.rs
@@ -25,6 +25,12 @@
     pub const fn new(value: u64) -> Self {
         Self(value)
     }
+
+    /// Returns the engine's value.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
 }
 
 /// Number of a report within one incarnation.
@@ -38,6 +44,12 @@
     pub const fn new(value: u64) -> Self {
         Self(value)
     }
+
+    /// Returns the engine's value.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
 }
 
 /// Something that takes memory on an endpoint.
--- a/crates/clementinepond_decide/src/plan/state.rs
+++ b/crates/clementinepond_decide/src/plan/state.rs
@@ -90,6 +90,20 @@
         self.phase.term().is_some_and(|term| now < term.deadline)
     }
 
+    /// Returns the VM that was last known to hold the lease.
+    #[must_use]
+    pub fn holder(&self) -> Option<&VmId> {
+        match &self.phase {
+            LeasePhase::Follower(lease) => lease
+                .state
+                .seen
+                .as_ref()
+                .and_then(|seen| seen.value.as_ref()?.holder.as_ref()),
+            LeasePhase::Acquiring(_) => None,
+            LeasePhase::Waiting(_) | LeasePhase::Holding(_) => Some(&self.vm),
+        }
+    }
+
     /// Returns what is known of each endpoint.
     #[must_use]
     pub const fn endpoints(&self) -> &BTreeMap<EndpointId, EndpointEntry> {
--- a/crates/clementinepond_decide/src/request/effect.rs
+++ b/crates/clementinepond_decide/src/request/effect.rs
@@ -22,13 +22,6 @@
 /// What a request asks of the other parts and of the edge.
 #[derive(Debug, Clone)]
 pub enum RequestEffect {
-    /// Ask the crash guard.
-    AskGuard {
-        /// The request.
-        ticket: RequestTicket,
-        /// What is known of it.
-        profile: RequestProfile,
-    },
     /// Ask for admission within the account's limit.
     AskLimit {
         /// The request.
@@ -67,7 +60,7 @@
     Progress {
         /// The request.
         ticket: RequestTicket,
-        /// Tokens generated since the last such effect.
+        /// Tokens generated so far.
         tokens: u64,
     },
     /// Give back what the request reserved and did not use.
@@ -77,6 +70,13 @@
         /// Tokens used; `None` when unknown, so that all that was reserved counts.
         used_tokens: Option<u64>,
     },
+    /// Give back a lapsed admission and ask for a new one.
+    AskAgain {
+        /// The request.
+        ticket: RequestTicket,
+        /// What is known of it.
+        profile: RequestProfile,
+    },
     /// Tell the claim how the run ended.
     CloseClaim {
         /// The request.
--- a/crates/clementinepond_decide/src/request/event.rs
+++ b/crates/clementinepond_decide/src/request/event.rs
@@ -1,6 +1,7 @@
 //! What can happen to a request.
 
 use super::{AttemptNumber, RequestEnd, RequestProfile};
+use crate::claim::RecordedAnswer;
 use clementinepond_types::{LocalTime, RequestTicket, TimeSpan};
 
 /// How one attempt ended.
@@ -10,6 +11,8 @@
     Complete {
         /// Tokens that the endpoint counted, prompt included.
         used_tokens: u64,
+        /// The answer, when repeats of the call may ask for it.
+        record: Option<Box<RecordedAnswer>>,
     },
     /// No byte of the request left for the endpoint.
     NotSent,
@@ -33,13 +36,6 @@
         ticket: RequestTicket,
         /// What is known of it.
         profile: RequestProfile,
-        /// Random number for its choices.
-        seed: u64,
-    },
-    /// The crash guard lets it pass.
-    GuardPassed {
-        /// Its number.
-        ticket: RequestTicket,
     },
     /// The account's limit admits it.
     Admitted {
@@ -55,7 +51,7 @@
         /// Moment after which the claim must not be used.
         deadline: LocalTime,
     },
-    /// It ends before any attempt.
+    /// Another part ends it.
     Stopped {
         /// Its number.
         ticket: RequestTicket,
--- a/crates/clementinepond_decide/src/request/profile.rs
+++ b/crates/clementinepond_decide/src/request/profile.rs
@@ -1,5 +1,7 @@
 //! What is known of a request when it arrives.
 
+use crate::claim::{BodyFingerprint, KeyDate};
+use crate::crash::RequestFingerprint;
 use crate::route::{PrefixHash, RouteTarget};
 use clementinepond_types::{AccountId, LocalTime, PriorityClass, TokenCount};
 use derive_more::Display;
@@ -23,8 +25,15 @@
 }
 
 /// Key by which a caller marks repeats of one call.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct IdempotencyKey(pub Box<str>);
+#[derive(Debug, Clone, PartialEq)]
+pub struct IdempotencyKey {
+    /// The key as the caller sent it.
+    pub key: Box<str>,
+    /// Moment that the key names.
+    pub date: KeyDate,
+    /// Hash of the request body.
+    pub fingerprint: BodyFingerprint,
+}
 
 /// What is known of a request when it arrives.
 #[derive(Debug, Clone)]
@@ -33,8 +42,10 @@
     pub account: Option<AccountId>,
     /// What the request is for.
     pub target: RouteTarget,
-    /// Most tokens that it can use.
-    pub cost: TokenCount,
+    /// Tokens that count when it starts.
+    pub prompt: TokenCount,
+    /// Most tokens that it can generate.
+    pub output: TokenCount,
     /// Priority class.
     pub priority: PriorityClass,
     /// Whether it may be run again after a failure.
@@ -42,11 +53,9 @@
     /// Key that marks repeats.
     pub idempotency: Option<IdempotencyKey>,
     /// Hash of account, target and body.
-    pub fingerprint: [u8; 32],
+    pub fingerprint: RequestFingerprint,
     /// Prefix of the prompt.
     pub prefix: Option<PrefixHash>,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u64,
     /// Moment until which it may wait for admission.
     pub admission_deadline: LocalTime,
     /// Moment at which its life ends.
--- a/crates/clementinepond_decide/src/request/reduce.rs
+++ b/crates/clementinepond_decide/src/request/reduce.rs
@@ -1,6 +1,6 @@
 //! The function from an event to effects.
 
-use super::stage::{Admitted, Answering, Dispatched, Guarded, Received, Request};
+use super::stage::{Admitted, Answering, Dispatched, Received, Request};
 use super::{
     AttemptNumber, AttemptOutcome, EndReason, RequestEffect, RequestEnd, RequestEvent,
     RequestProfile, RequestStage, RequestTable,
@@ -11,14 +11,13 @@
 
 /// Longest wait between two choices of an endpoint.
 const ROUTE_RETRY_LIMIT: TimeSpan = TimeSpan::from_millis(250);
+/// Time in which a request without an account must start.
+const OPEN_START_SPAN: TimeSpan = TimeSpan::from_secs(1);
 
 /// Takes one event and returns what must be done.
 pub fn reduce(table: &mut RequestTable, event: RequestEvent, now: LocalTime) -> Vec<RequestEffect> {
     match event {
-        RequestEvent::Arrived {
-            ticket, profile, ..
-        } => arrive(table, ticket, profile),
-        RequestEvent::GuardPassed { ticket } => pass_guard(table, ticket, now),
+        RequestEvent::Arrived { ticket, profile } => arrive(table, ticket, profile, now),
         RequestEvent::Admitted { ticket, deadline } => admit(table, ticket, deadline),
         RequestEvent::ClaimGranted { ticket, deadline } => claim(table, ticket, deadline),
         RequestEvent::Stopped { ticket, end } => finish(table, ticket, end),
@@ -42,6 +41,7 @@
     table: &mut RequestTable,
     ticket: RequestTicket,
     profile: RequestProfile,
+    now: LocalTime,
 ) -> Vec<RequestEffect> {
     table.budget.deposit();
     let request = Request {
@@ -49,26 +49,10 @@
         stage: Received,
     };
     table.requests.insert(ticket, request.into());
-    vec![RequestEffect::AskGuard { ticket, profile }]
-}
-
-fn pass_guard(
-    table: &mut RequestTable,
-    ticket: RequestTicket,
-    now: LocalTime,
-) -> Vec<RequestEffect> {
-    match table.requests.remove(&ticket) {
-        Some(RequestStage::Received(request)) => {
-            let profile = request.profile.clone();
-            let request = request.enter(Guarded);
-            table.requests.insert(ticket, request.into());
-            if profile.account.is_none() {
-                return admit(table, ticket, now + ROUTE_RETRY_LIMIT);
-            }
-            vec![RequestEffect::AskLimit { ticket, profile }]
-        }
-        other => restore(table, ticket, other),
+    if profile.account.is_none() {
+        return admit(table, ticket, now + OPEN_START_SPAN);
     }
+    vec![RequestEffect::AskLimit { ticket, profile }]
 }
 
 fn admit(
@@ -77,14 +61,14 @@
     deadline: LocalTime,
 ) -> Vec<RequestEffect> {
     match table.requests.remove(&ticket) {
-        Some(RequestStage::Guarded(request)) => {
+        Some(RequestStage::Received(request)) => {
             let profile = request.profile.clone();
             let request = request.enter(Admitted { deadline });
             if profile.idempotency.is_some() && !profile.repeatable {
                 table.requests.insert(ticket, request.into());
                 return vec![RequestEffect::AskClaim { ticket, profile }];
             }
-            start(table, ticket, request, deadline)
+            start(table, ticket, request, deadline, false)
         }
         // Admission of a request that has gone is given back.
         None => vec![RequestEffect::Settle {
@@ -101,7 +85,10 @@
     deadline: LocalTime,
 ) -> Vec<RequestEffect> {
     match table.requests.remove(&ticket) {
-        Some(RequestStage::Admitted(request)) => start(table, ticket, request, deadline),
+        Some(RequestStage::Admitted(request)) => {
+            let deadline = deadline.min(request.stage.deadline);
+            start(table, ticket, request, deadline, true)
+        }
         None => vec![RequestEffect::CloseClaim {
             ticket,
             end: RequestEnd::NotRun {
@@ -118,6 +105,7 @@
     ticket: RequestTicket,
     request: Request<Admitted>,
     deadline: LocalTime,
+    is_claimed: bool,
 ) -> Vec<RequestEffect> {
     let stage = Dispatched {
         attempt: AttemptNumber::default(),
@@ -126,6 +114,7 @@
         retry_deadline: LocalTime::NEVER,
         may_have_run: false,
         start_deadline: deadline,
+        is_claimed,
     };
     let seed = ticket.get().wrapping_mul(0x9E37_79B9_7F4A_7C15);
     table.requests.insert(ticket, request.enter(stage).into());
@@ -157,7 +146,7 @@
         query: RouteQuery {
             target: profile.target.clone(),
             prefix: profile.prefix,
-            prompt_tokens: profile.prompt_tokens,
+            prompt_tokens: profile.prompt.whole(),
             excluded: stage.excluded.clone(),
             seed,
         },
@@ -167,7 +156,7 @@
 }
 
 fn progress(table: &mut RequestTable, ticket: RequestTicket, tokens: u64) -> Vec<RequestEffect> {
-    match table.requests.remove(&ticket) {
+    let delivered = match table.requests.remove(&ticket) {
         Some(RequestStage::Dispatched(request)) => {
             let dispatched = request.stage.clone();
             let stage = Answering {
@@ -175,14 +164,20 @@
                 delivered_tokens: tokens,
             };
             table.requests.insert(ticket, request.enter(stage).into());
+            tokens
         }
         Some(RequestStage::Answering(mut request)) => {
             request.stage.delivered_tokens += tokens;
+            let delivered = request.stage.delivered_tokens;
             table.requests.insert(ticket, request.into());
+            delivered
         }
         other => return restore(table, ticket, other),
-    }
-    vec![RequestEffect::Progress { ticket, tokens }]
+    };
+    vec![RequestEffect::Progress {
+        ticket,
+        tokens: delivered,
+    }]
 }
 
 fn end_attempt(
@@ -200,9 +195,17 @@
         return Vec::new();
     }
     match outcome {
-        AttemptOutcome::Complete { used_tokens } => {
-            finish(table, ticket, RequestEnd::Complete { used_tokens })
-        }
+        AttemptOutcome::Complete {
+            used_tokens,
+            record,
+        } => finish(
+            table,
+            ticket,
+            RequestEnd::Complete {
+                used_tokens,
+                record,
+            },
+        ),
         AttemptOutcome::Rejected => finish(table, ticket, RequestEnd::Rejected),
         AttemptOutcome::NotSent | AttemptOutcome::RefusedNotRun => {
             note_failure(table, ticket, false);
@@ -245,6 +248,10 @@
     if !is_safe {
         return finish(table, ticket, RequestEnd::Unknown { reason });
     }
+    let has_lapsed = !dispatched.may_have_run && now >= dispatched.start_deadline;
+    if has_lapsed {
+        return ask_again(table, ticket);
+    }
     let is_allowed =
         dispatched.attempt.get() < table.policy.attempt_limit && stage.profile().deadline > now;
     let seed = now.micros() ^ ticket.get().rotate_left(32);
@@ -255,6 +262,25 @@
     finish(table, ticket, end)
 }
 
+/// Starts over with a new admission, because the one held has lapsed.
+fn ask_again(table: &mut RequestTable, ticket: RequestTicket) -> Vec<RequestEffect> {
+    let Some(stage) = table.requests.get(&ticket) else {
+        return Vec::new();
+    };
+    let is_claimed = stage.dispatched().is_some_and(|stage| stage.is_claimed);
+    if is_claimed || stage.profile().account.is_none() {
+        let end = give_up(stage, EndReason::Timeout, Some(ROUTE_RETRY_LIMIT));
+        return finish(table, ticket, end);
+    }
+    let profile = stage.profile().clone();
+    let request = Request {
+        profile: profile.clone(),
+        stage: Received,
+    };
+    table.requests.insert(ticket, request.into());
+    vec![RequestEffect::AskAgain { ticket, profile }]
+}
+
 /// Names the honest end of a request that gets no further attempt.
 fn give_up(stage: &RequestStage, reason: EndReason, retry_after: Option<TimeSpan>) -> RequestEnd {
     if stage.may_have_run() {
@@ -372,10 +398,11 @@
 }
 
 const fn has_admission(stage: &RequestStage) -> bool {
-    !matches!(stage, RequestStage::Received(_))
+    stage.profile().account.is_some()
 }
 
 const fn has_claim(stage: &RequestStage) -> bool {
+    // The claim is open from the moment it is asked for.
     let is_past_admission = matches!(
         stage,
         RequestStage::Admitted(_) | RequestStage::Dispatched(_) | RequestStage::Answering(_)
@@ -390,7 +417,7 @@
         return Some(0);
     }
     match end {
-        RequestEnd::Complete { used_tokens } => Some(*used_tokens),
+        RequestEnd::Complete { used_tokens, .. } => Some(*used_tokens),
         RequestEnd::Rejected | RequestEnd::Replayed { .. } | RequestEnd::NotRun { .. } => Some(0),
         RequestEnd::Unknown { .. } | RequestEnd::Abandoned => None,
     }
--- a/crates/clementinepond_decide/src/request/stage.rs
+++ b/crates/clementinepond_decide/src/request/stage.rs
@@ -1,6 +1,7 @@
 //! Stages of a request and its end.
 
 use super::{AttemptNumber, RequestProfile};
+use crate::claim::RecordedAnswer;
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
 use derive_more::{Display, From};
 use std::collections::BTreeSet;
@@ -26,12 +27,24 @@
     /// The retry budget or the number of attempts is used up.
     #[display("retries_exhausted")]
     RetriesExhausted,
+    /// The account is unknown or disabled.
+    #[display("account_inactive")]
+    AccountInactive,
+    /// The idempotency key names a moment that is too old or in the future.
+    #[display("key_date")]
+    KeyDate,
+    /// The first call under the idempotency key is still running.
+    #[display("still_running")]
+    StillRunning,
     /// The owner of the claim cannot be reached.
     #[display("claim_unavailable")]
     ClaimUnavailable,
     /// The same key came with another body.
     #[display("key_reused")]
     KeyReused,
+    /// The request ran earlier and its outcome is not known.
+    #[display("outcome_lost")]
+    OutcomeLost,
     /// The request ran earlier and its answer is no longer held.
     #[display("already_ran")]
     AlreadyRan,
@@ -56,13 +69,15 @@
     Complete {
         /// Tokens used, prompt included.
         used_tokens: u64,
+        /// The answer, when repeats of the call may ask for it.
+        record: Option<Box<RecordedAnswer>>,
     },
     /// The endpoint's own refusal was passed on.
     Rejected,
     /// The recorded answer of an earlier run.
     Replayed {
         /// The answer.
-        answer: Box<str>,
+        answer: Box<RecordedAnswer>,
     },
     /// Nothing ran.
     NotRun {
@@ -80,14 +95,10 @@
     Abandoned,
 }
 
-/// Stage: arrived, asking the crash guard.
+/// Stage: arrived, asking for admission.
 #[derive(Debug, Clone)]
 pub struct Received;
 
-/// Stage: passed the guard, asking for admission.
-#[derive(Debug, Clone)]
-pub struct Guarded;
-
 /// Stage: admitted; asking for the claim or ready to dispatch.
 #[derive(Debug, Clone)]
 pub struct Admitted {
@@ -110,6 +121,8 @@
     pub may_have_run: bool,
     /// Moment after which no first attempt may start.
     pub start_deadline: LocalTime,
+    /// Whether the call is claimed, so that a lapsed start ends it.
+    pub is_claimed: bool,
 }
 
 /// Stage: tokens reach the caller.
@@ -143,10 +156,8 @@
 /// A request in any stage that still runs.
 #[derive(Debug, Clone, From)]
 pub enum RequestStage {
-    /// Asking the crash guard.
-    Received(Request<Received>),
     /// Asking for admission.
-    Guarded(Request<Guarded>),
+    Received(Request<Received>),
     /// Asking for the claim.
     Admitted(Request<Admitted>),
     /// Handed to an endpoint.
@@ -161,7 +172,6 @@
     pub const fn profile(&self) -> &RequestProfile {
         match self {
             Self::Received(request) => &request.profile,
-            Self::Guarded(request) => &request.profile,
             Self::Admitted(request) => &request.profile,
             Self::Dispatched(request) => &request.profile,
             Self::Answering(request) => &request.profile,
--- a/crates/clementinepond_decide/src/route/choose.rs
+++ b/crates/clementinepond_decide/src/route/choose.rs
@@ -5,9 +5,6 @@
 };
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
 
-/// Time after which a caller may ask again for a target without a replica.
-const NO_REPLICA_RETRY: TimeSpan = TimeSpan::from_secs(2);
-
 /// An endpoint that could serve a request.
 struct RouteCandidate<'a> {
     endpoint: &'a EndpointId,
@@ -34,12 +31,24 @@
         } else {
             candidates
         };
-        pick(&candidates, query.seed).ok_or(RouteError::NoReplica {
-            retry_after: NO_REPLICA_RETRY,
-        })
+        pick(&candidates, query.seed).ok_or_else(RouteError::none)
+    }
+
+    /// Returns up to `limit` endpoints for a request, shortest wait first.
+    #[must_use]
+    pub fn ranked(&self, query: &RouteQuery, limit: usize) -> Vec<EndpointId> {
+        let mut candidates = self.candidates(query, |id, _| !query.excluded.contains(id));
+        candidates.sort_by_key(|candidate| candidate.wait);
+        candidates
+            .into_iter()
+            .take(limit)
+            .map(|candidate| candidate.endpoint.clone())
+            .collect()
     }
 
-    fn is_fresh(&self, state: &EndpointState, now: LocalTime) -> bool {
+    /// Returns whether an endpoint reported lately.
+    #[must_use]
+    pub fn is_fresh(&self, state: &EndpointState, now: LocalTime) -> bool {
         now.since(state.reported) <= self.settings.report_timeout
     }
 
--- a/crates/clementinepond_decide/src/route/endpoint_state.rs
+++ b/crates/clementinepond_decide/src/route/endpoint_state.rs
@@ -1,6 +1,7 @@
 //! What a VM knows of one endpoint.
 
 use super::{EndpointProfile, PrefixIndex};
+use crate::plan::ModelState;
 use clementinepond_types::{AdapterId, FencingNumber, LocalTime, MemorySize, ModelId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -107,3 +108,13 @@
         true
     }
 }
+
+impl From<ModelState> for ReplicaState {
+    fn from(state: ModelState) -> Self {
+        match state {
+            ModelState::Loading => Self::Loading,
+            ModelState::Ready => Self::Ready,
+            ModelState::Draining => Self::Draining,
+        }
+    }
+}
--- a/crates/clementinepond_decide/src/route/query.rs
+++ b/crates/clementinepond_decide/src/route/query.rs
@@ -34,6 +34,9 @@
     pub seed: u64,
 }
 
+/// Time after which a caller may ask again for a target without a replica.
+const NO_REPLICA_RETRY: TimeSpan = TimeSpan::from_secs(2);
+
 /// Reason for which no endpoint can be named.
 #[derive(Debug, Display, Error, Clone, PartialEq, Eq)]
 pub enum RouteError {
@@ -44,3 +47,13 @@
         retry_after: TimeSpan,
     },
 }
+
+impl RouteError {
+    /// The error when no endpoint serves the target.
+    #[must_use]
+    pub const fn none() -> Self {
+        Self::NoReplica {
+            retry_after: NO_REPLICA_RETRY,
+        }
+    }
+}
--- a/crates/clementinepond_demo/src/fleet/running_vm.rs
+++ b/crates/clementinepond_demo/src/fleet/running_vm.rs
@@ -75,6 +75,16 @@
         "peer": {"listen": "127.0.0.1:0", "secret": "demo-secret-of-all-vms"},
         "platform": {"address": platform},
         "endpoint": {"report_interval": "100ms"},
+        "membership": {
+            "heartbeat_period": "250ms",
+            "suspicion": "2s",
+            "validity": "2s",
+            "settle": "2s",
+            "list_lag": "1s",
+            "loan_span": "1500ms",
+            "balance_period": "1s",
+        },
+        "limit": {"lot_span": "1s", "loan_interval": "300ms"},
     });
     if let Some(extra) = extra {
         merge(&mut value, extra);
--- a/crates/clementinepond_demo/tests/whole_path.rs
+++ b/crates/clementinepond_demo/tests/whole_path.rs
@@ -1,5 +1,7 @@
 //! A request's whole way over real sockets.
 
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
 mod support;
 
 use clementinepond_demo::RunningFleet;
--- a/crates/clementinepond_settings/src/fleet/model_entry.rs
+++ b/crates/clementinepond_settings/src/fleet/model_entry.rs
@@ -14,6 +14,9 @@
     /// Whether one replica stays in each data centre.
     #[serde(default)]
     pub resident: bool,
+    /// Tokens a second that one replica generates at full load.
+    #[serde(default = "default_tokens_per_second")]
+    pub tokens_per_second: u64,
     /// Whether a call may be repeated after a failure.
     #[serde(default = "yes")]
     pub repeatable: bool,
@@ -32,6 +35,10 @@
     pub resident: bool,
 }
 
+const fn default_tokens_per_second() -> u64 {
+    400
+}
+
 const fn yes() -> bool {
     true
 }
--- a/crates/clementinepond_settings/src/vm/check.rs
+++ b/crates/clementinepond_settings/src/vm/check.rs
@@ -8,6 +8,8 @@
 const SECRET_LENGTH_MIN: usize = 16;
 /// Smallest accepted limit of a body, in bytes.
 const BODY_LIMIT_MIN: usize = 1024;
+/// Intervals of polls that a loan lives.
+const LOAN_INTERVALS: u64 = 3;
 const LOG_LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
 
 impl VmSettings {
@@ -17,6 +19,7 @@
         self.check_caller(faults);
         self.check_request(faults);
         self.check_spans(faults);
+        self.check_limit(faults);
         self.check_telemetry(faults);
     }
 
@@ -78,6 +81,14 @@
             ("endpoint.token_timeout", self.endpoint.token_timeout),
             ("endpoint.report_interval", self.endpoint.report_interval),
             ("request.total_timeout", self.request.total_timeout),
+            (
+                "membership.heartbeat_period",
+                self.membership.heartbeat_period,
+            ),
+            ("membership.suspicion", self.membership.suspicion),
+            ("membership.loan_span", self.membership.loan_span),
+            ("limit.lot_span", self.limit.lot_span),
+            ("limit.loan_interval", self.limit.loan_interval),
         ];
         for (place, span) in spans {
             faults.require(
@@ -89,6 +100,19 @@
         }
     }
 
+    fn check_limit(&self, faults: &mut FaultList) {
+        let longest = self
+            .limit
+            .lot_span
+            .max(self.limit.loan_interval.fraction(LOAN_INTERVALS, 1));
+        faults.require(
+            self.membership.loan_span > longest,
+            "membership.loan_span",
+            &format!("grants may live for {longest}"),
+            "set it longer than limit.lot_span and three times limit.loan_interval",
+        );
+    }
+
     fn check_telemetry(&self, faults: &mut FaultList) {
         faults.require(
             LOG_LEVELS.contains(&&*self.telemetry.log_level),
--- a/crates/clementinepond_settings/src/vm/mod.rs
+++ b/crates/clementinepond_settings/src/vm/mod.rs
@@ -9,7 +9,7 @@
 pub use read::SettingsError;
 pub use reference::{SETTING_ENTRIES, SettingEntry, reference_page};
 pub use section::{
-    AdminSettings, CallerSettings, EndpointSettings, PeerSeed, PeerSettings, PlatformSettings,
-    RequestSettings, TelemetrySettings, TlsSettings,
+    AdminSettings, CallerSettings, EndpointSettings, LimitSettings, MembershipSettings, PeerSeed,
+    PeerSettings, PlatformSettings, RequestSettings, TelemetrySettings, TlsSettings,
 };
 pub use vm_settings::VmSettings;
--- a/crates/clementinepond_settings/src/vm/section.rs
+++ b/crates/clementinepond_settings/src/vm/section.rs
@@ -1,6 +1,6 @@
 //! Sections of the settings file.
 
-use clementinepond_types::{KeyDigest, TimeSpan, VmId};
+use clementinepond_types::{KeyDigest, TimeSpan};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -63,8 +63,6 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PeerSeed {
-    /// Name of the VM.
-    pub vm: VmId,
     /// Its address for other VMs.
     pub address: SocketAddr,
 }
@@ -169,6 +167,62 @@
     }
 }
 
+/// Membership and what a VM does while it is cut off.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MembershipSettings {
+    /// Time between two rounds of heartbeats.
+    pub heartbeat_period: TimeSpan,
+    /// Silence after which a VM is suspected.
+    pub suspicion: TimeSpan,
+    /// Time for which a paused VM keeps the use of its parts.
+    pub validity: TimeSpan,
+    /// Time in which news of one VM reaches all connected ones.
+    pub settle: TimeSpan,
+    /// Bound of the lag of the platform's list of VMs.
+    pub list_lag: TimeSpan,
+    /// Longest life of a grant on parts.
+    pub loan_span: TimeSpan,
+    /// Time between two steps towards even parts.
+    pub balance_period: TimeSpan,
+    /// Time without news after which all keys are refused; never when absent.
+    pub refuse_keys_after: Option<TimeSpan>,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        Self {
+            heartbeat_period: TimeSpan::from_secs(1),
+            suspicion: TimeSpan::from_secs(8),
+            validity: TimeSpan::from_secs(10),
+            settle: TimeSpan::from_secs(10),
+            list_lag: TimeSpan::from_secs(30),
+            loan_span: TimeSpan::from_secs(20),
+            balance_period: TimeSpan::from_secs(20),
+            refuse_keys_after: None,
+        }
+    }
+}
+
+/// Limits of client accounts.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Life of a lot of tokens at the VM that borrowed it.
+    pub lot_span: TimeSpan,
+    /// Shortest interval between two polls for loans.
+    pub loan_interval: TimeSpan,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            lot_span: TimeSpan::from_secs(4),
+            loan_interval: TimeSpan::from_secs(1),
+        }
+    }
+}
+
 /// Logs, traces and metrics.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/clementinepond_settings/src/vm/vm_settings.rs
+++ b/crates/clementinepond_settings/src/vm/vm_settings.rs
@@ -1,8 +1,8 @@
 //! The settings file as a whole.
 
 use super::section::{
-    AdminSettings, CallerSettings, EndpointSettings, PeerSettings, PlatformSettings,
-    RequestSettings, TelemetrySettings,
+    AdminSettings, CallerSettings, EndpointSettings, LimitSettings, MembershipSettings,
+    PeerSettings, PlatformSettings, RequestSettings, TelemetrySettings,
 };
 use clementinepond_types::{DataCentreId, VmId};
 use serde::{Deserialize, Serialize};
@@ -29,6 +29,12 @@
     /// Life cycle of requests.
     #[serde(default)]
     pub request: RequestSettings,
+    /// Membership and what a VM does while it is cut off.
+    #[serde(default)]
+    pub membership: MembershipSettings,
+    /// Limits of client accounts.
+    #[serde(default)]
+    pub limit: LimitSettings,
     /// Logs, traces and metrics.
     #[serde(default)]
     pub telemetry: TelemetrySettings,
--- a/crates/clementinepond_settings/tests/fleet.rs
+++ b/crates/clementinepond_settings/tests/fleet.rs
@@ -1,5 +1,7 @@
 //! Checks and changes of the fleet configuration.
 
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
 use clementinepond_settings::fleet::{ChangeError, ConfigurationChange, FleetConfiguration};
 use clementinepond_settings::vm::{SETTING_ENTRIES, VmSettings};
 use serde_json::{Value, json};
--- a/crates/clementinepond_settings/tests/settings_files.rs
+++ b/crates/clementinepond_settings/tests/settings_files.rs
@@ -1,5 +1,7 @@
 //! Settings files and the faults that are reported for them.
 
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
 use clementinepond_settings::vm::VmSettings;
 use std::path::Path;
 
