--- /dev/null
+++ b/crates/clementinepond_measure/src/experiment/limits/fault.rs
@@ -0,0 +1,144 @@
+//! Faults of a simulated fleet.
+
+use super::fleet::{FleetEvent, FleetSimulation};
+use super::ledger::LimitChange;
+use super::plan::FaultKind;
+use super::policy::VmPolicy;
+use clementinepond_decide::limit::{AccountLimit, LimitEvent};
+
+/// Delay of the first news to a VM that starts, in microseconds.
+const START_DELAY: u64 = 200_000;
+/// Time between a VM's leave and its release, in microseconds.
+const RELEASE_DELAY: u64 = 1_000_000;
+/// Addition to the hold-off before the parts of a stopped VM move.
+const HOLD_OFF_MARGIN: u64 = 2_000_000;
+
+impl FleetSimulation {
+    pub(super) fn strike(&mut self, kind: FaultKind) {
+        match kind {
+            FaultKind::Pause { vm, span } => {
+                let host = &mut self.vms[vm];
+                host.paused_until = host.paused_until.max(self.now + span);
+            }
+            FaultKind::Isolate { vm, span } => {
+                let host = &mut self.vms[vm];
+                host.isolated_until = host.isolated_until.max(self.now + span);
+            }
+            FaultKind::Restart { vm } => self.restart(vm),
+            FaultKind::Crash { vm } => self.crash(vm),
+            FaultKind::Leave { vm } => self.leave(vm),
+            FaultKind::CutCentre { centre, span } => self.cut(centre, span),
+            FaultKind::ChangeLimit { account, scale } => self.change_limit(account, scale),
+        }
+    }
+
+    fn restart(&mut self, vm: usize) {
+        if self.vms[vm].is_stopped || self.vms[vm].is_leaving {
+            return;
+        }
+        let host = &mut self.vms[vm];
+        host.incarnation += 1;
+        host.paused_until = 0;
+        let (kind, incarnation) = (self.plan.policy, host.incarnation);
+        host.policy = VmPolicy::new(kind, &self.plan.settings, host.name.clone(), incarnation);
+        let view = self.roster.view(vm, self.vms[vm].centre);
+        let table = self.table();
+        let at = self.now + START_DELAY;
+        let events = [
+            LimitEvent::AccountsChanged(table),
+            LimitEvent::PartsChanged(view),
+        ];
+        for event in events {
+            self.push(
+                at,
+                FleetEvent::Vm {
+                    vm,
+                    incarnation,
+                    event,
+                },
+            );
+        }
+        self.push(at, FleetEvent::Tick { vm, incarnation });
+    }
+
+    fn crash(&mut self, vm: usize) {
+        if self.vms[vm].is_stopped || self.vms[vm].is_leaving {
+            return;
+        }
+        self.vms[vm].is_stopped = true;
+        let members = self.plan.centres[self.vms[vm].centre];
+        let hold_off = self.plan.settings.longest_grant(members).micros() + HOLD_OFF_MARGIN;
+        self.push(self.now + hold_off, FleetEvent::MoveParts { vm });
+    }
+
+    fn leave(&mut self, vm: usize) {
+        if self.vms[vm].is_stopped || self.vms[vm].is_leaving {
+            return;
+        }
+        self.vms[vm].is_leaving = true;
+        self.roster.remove_member(vm);
+        self.send_roster(false);
+        let incarnation = self.vms[vm].incarnation;
+        let at = self.now + RELEASE_DELAY;
+        let event = LimitEvent::Release;
+        self.push(
+            at,
+            FleetEvent::Vm {
+                vm,
+                incarnation,
+                event,
+            },
+        );
+    }
+
+    pub(super) fn move_parts(&mut self, vm: usize) {
+        self.vms[vm].is_stopped = true;
+        self.roster.remove_member(vm);
+        self.roster.move_parts(vm);
+        self.send_roster(false);
+    }
+
+    fn cut(&mut self, centre: usize, span: u64) {
+        let ends = self.now + span;
+        self.cut_until[centre] = self.cut_until[centre].max(ends);
+        let share = self.roster.share(centre);
+        for sides in &mut self.ideal {
+            if let [whole] = sides.as_mut_slice() {
+                let other = whole.split(share, 1_024, self.now);
+                sides.push(other);
+            }
+        }
+        self.push(ends, FleetEvent::Heal { centre });
+    }
+
+    pub(super) fn heal(&mut self, centre: usize) {
+        if self.cut_until[centre] > self.now {
+            return;
+        }
+        for (sides, changes) in self.ideal.iter_mut().zip(&self.limits) {
+            let other = if sides.len() > 1 { sides.pop() } else { None };
+            if let (Some(other), Some(whole), Some(change)) =
+                (other, sides.first_mut(), changes.last())
+            {
+                whole.join(other, change.limit, self.now);
+            }
+        }
+    }
+
+    fn change_limit(&mut self, account: usize, scale: u64) {
+        let planned = self.plan.accounts[account].limit;
+        let limit = AccountLimit {
+            rate: planned.rate.fraction(scale, 1_000),
+            burst: planned.burst.fraction(scale, 1_000),
+        };
+        self.limits[account].push(LimitChange {
+            at: self.now,
+            limit,
+        });
+        for side in &mut self.ideal[account] {
+            side.set_limit(limit, self.now);
+        }
+        self.shadow[account].set_limit(limit, self.now);
+        self.send_table(false);
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_measure/src/experiment/limits/mod.rs
@@ -0,0 +1,31 @@
+//! Limits of accounts over a whole fleet.
+//!
+//! Many real reducers run in virtual time on a small network that delays,
+//! loses, repeats and reorders messages and that is cut. Every run is checked
+//! against the exact bound over all windows, beside an equal static split.
+
+mod central;
+mod client;
+mod fault;
+mod fleet;
+mod ledger;
+mod network;
+mod outcome;
+mod plan;
+mod policy;
+mod report;
+mod roster;
+mod scenario;
+mod stream;
+mod wire;
+
+pub use fleet::{FleetSimulation, SETTLE_TIME};
+pub use ledger::{LimitChange, SpendLedger};
+pub use network::NetworkPlan;
+pub use outcome::{AccountOutcome, FleetOutcome};
+pub use plan::{AccountPlan, BalancePlan, FaultKind, FaultPlan, FleetPlan, ReservePlan, SECOND};
+pub use policy::PolicyKind;
+pub use report::run;
+pub use scenario::{
+    chaos, cut_off, five_fold, grow, rate_change, skewed, small_accounts, today_accounts,
+};
--- /dev/null
+++ b/crates/clementinepond_measure/src/experiment/limits/stream.rs
@@ -0,0 +1,105 @@
+//! Requests and the tokens that they generate.
+
+use super::plan::{AccountPlan, ReservePlan};
+use clementinepond_decide::limit::TicketId;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
+
+/// Tokens of the largest prompt.
+const PROMPT_LIMIT: u64 = 2_000;
+/// Tokens of the smallest prompt.
+const PROMPT_FLOOR: u64 = 50;
+/// Most tokens that a request may generate.
+const OUTPUT_LIMIT: u64 = 512;
+
+/// Mean cost of a request, in tokens.
+pub(super) const MEAN_COST: u64 = 690;
+
+/// One request of a client.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RequestPlan {
+    /// Index of the account.
+    pub(super) account: usize,
+    /// Prompt tokens.
+    pub(super) prompt: u64,
+    /// Most tokens that it may generate.
+    pub(super) limit: u64,
+    /// Tokens that it will generate.
+    pub(super) output: u64,
+}
+
+impl RequestPlan {
+    /// Draws a request.
+    pub(super) fn draw(account: usize, plan: &AccountPlan, rng: &mut ChaCha8Rng) -> Self {
+        let burst = plan.limit.burst.whole();
+        let most = PROMPT_LIMIT.min(burst / 4).max(PROMPT_FLOOR + 1);
+        let small = rng.random_range(PROMPT_FLOOR..most);
+        let prompt = rng.random_range(PROMPT_FLOOR..=small);
+        let limit = OUTPUT_LIMIT.min(burst / 4).max(4);
+        Self {
+            account,
+            prompt,
+            limit,
+            output: rng.random_range(1..=limit * 6 / 10),
+        }
+    }
+
+    /// Returns the true cost, in tokens.
+    #[must_use]
+    pub(super) const fn cost(&self) -> u64 {
+        self.prompt + self.output
+    }
+}
+
+/// Reserved part of a stream.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StreamPart {
+    /// Admission of the part.
+    pub(super) ticket: TicketId,
+    /// Prompt tokens that it covers.
+    pub(super) prompt: u64,
+    /// Generated tokens that it covers.
+    pub(super) output: u64,
+}
+
+/// One request that is running.
+#[derive(Debug)]
+pub(super) struct TokenStream {
+    /// The request.
+    pub(super) request: RequestPlan,
+    /// VM that serves it.
+    pub(super) vm: usize,
+    /// Process of the VM that admitted it.
+    pub(super) incarnation: u64,
+    /// Reserved parts that are not used up, the oldest first.
+    pub(super) parts: VecDeque<StreamPart>,
+    /// Tokens generated in all.
+    pub(super) generated: u64,
+    /// Tokens generated under the oldest part.
+    pub(super) in_part: u64,
+    /// Whether a further part was asked for.
+    pub(super) is_asking: bool,
+    /// Time that the stream stood still for lack of tokens, in microseconds.
+    pub(super) stalled: u64,
+}
+
+impl TokenStream {
+    /// Returns the tokens that may be generated under the reserved parts.
+    #[must_use]
+    pub(super) fn reserved(&self) -> u64 {
+        let parts: u64 = self.parts.iter().map(|part| part.output).sum();
+        parts - self.in_part
+    }
+
+    /// Returns the size of the next part to ask for, if one is needed.
+    #[must_use]
+    pub(super) fn next_part(&self, reserve: ReservePlan) -> Option<u64> {
+        let ReservePlan::Parts(size) = reserve else {
+            return None;
+        };
+        let covered = self.generated + self.reserved();
+        let is_needed = covered < self.request.limit && self.reserved() <= size / 2;
+        (is_needed && !self.is_asking).then(|| size.min(self.request.limit - covered))
+    }
+}
--- a/crates/clementinepond_measure/src/experiment/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/mod.rs
@@ -1,5 +1,7 @@
 //! The list of experiments.
 
+pub mod limits;
+
 use crate::ExperimentReport;
 
 /// One experiment that can be run by name.
@@ -14,7 +16,11 @@
 }
 
 /// Every experiment, in the order of `measure list`.
-pub const EXPERIMENTS: &[ExperimentEntry] = &[];
+pub const EXPERIMENTS: &[ExperimentEntry] = &[ExperimentEntry {
+    name: "limits",
+    about: "rate and burst over all VMs: refusals inside the rate, the worst-served account",
+    run: limits::run,
+}];
 
 /// Finds an experiment by name.
 #[must_use]
