--- a/crates/clementinepond_decide/src/limit/periodic.rs
+++ b/crates/clementinepond_decide/src/limit/periodic.rs
@@ -8,6 +8,7 @@
 use super::slice::PartRights;
 use super::state::LimitState;
 use clementinepond_types::{AccountId, LocalTime, TokenCount, VmId};
+use std::collections::BTreeMap;
 
 /// Does what is due.
 pub(super) fn tick(state: &mut LimitState, now: LocalTime, outbox: &mut EffectOutbox) {
@@ -34,7 +35,7 @@
         account.settle(now, &state.settings);
         drop_abandoned(account, now, &state.settings);
         let most = returnable(&id, account, &state.rights, &state.settings);
-        let due = return_unused(account, most, now, &state.settings);
+        let due = return_unused(account, &most, now, &state.settings);
         if account.is_quiet() {
             state.channels.remove(&id);
         }
@@ -53,30 +54,35 @@
         .retain(|_, channel| !channel.is_abandoned(now, settings.lot_span));
 }
 
-/// Returns how much capacity may go back without leaving lots unbacked.
+/// Returns how much capacity each channel may give back without leaving
+/// lots that this VM has lent unbacked.
 fn returnable(
     id: &AccountId,
     account: &AccountState,
     rights: &PartRights,
     settings: &LimitSettings,
-) -> TokenCount {
-    let borrowed = account.bucket.borrowed();
+) -> BTreeMap<VmId, TokenCount> {
     let lapse = account.lent.values().map(|channel| channel.deadline).max();
-    let Some(lapse) = lapse else {
-        return borrowed;
-    };
-    let committed = account.bucket.lent() + borrowed;
-    if rights.assured_until(id, account, committed, settings) >= lapse {
-        return borrowed;
-    }
-    TokenCount::ZERO
+    let lent = account.bucket.lent();
+    account
+        .borrowed
+        .iter()
+        .map(|(peer, channel)| {
+            let (Some(lapse), Some(deadline)) = (lapse, channel.deadline()) else {
+                return (peer.clone(), channel.outstanding());
+            };
+            let moment = lapse.min(deadline);
+            let assured = rights.assured_amount(id, account, moment, settings);
+            (peer.clone(), assured.saturating_sub(lent))
+        })
+        .collect()
 }
 
 /// Returns unused capacity and tokens; lists the VMs to report to, and
 /// whether each of them will answer.
 fn return_unused(
     account: &mut AccountState,
-    most: TokenCount,
+    most: &BTreeMap<VmId, TokenCount>,
     now: LocalTime,
     settings: &LimitSettings,
 ) -> Vec<(VmId, bool)> {
@@ -84,8 +90,10 @@
     let half = settings.lot_span.fraction(1, 2);
     let is_idle = account.queue.is_empty();
     let bucket = &mut account.bucket;
-    let mut left = most;
+    let mut returned = TokenCount::ZERO;
     for (peer, channel) in &mut account.borrowed {
+        let most = most.get(peer).copied().unwrap_or_default();
+        let left = most.saturating_sub(returned);
         let capacity = channel.outstanding().min(bucket.room()).min(left);
         let level = if is_idle {
             bucket
@@ -97,7 +105,7 @@
         };
         let is_returning = capacity + level > TokenCount::ZERO;
         if is_returning {
-            left = left.saturating_sub(capacity + level);
+            returned += capacity + level;
             channel.give_back(capacity + level, level);
             bucket.give_up(capacity + level, level);
         }
--- a/crates/clementinepond_decide/src/limit/slice.rs
+++ b/crates/clementinepond_decide/src/limit/slice.rs
@@ -200,6 +200,29 @@
         LocalTime::ORIGIN
     }
 
+    /// Returns the capacity that lasts at least until `moment`.
+    pub(super) fn assured_amount(
+        &self,
+        id: &AccountId,
+        account: &AccountState,
+        moment: LocalTime,
+        settings: &LimitSettings,
+    ) -> TokenCount {
+        let Some(limit) = account.limit else {
+            return TokenCount::ZERO;
+        };
+        let (mut fraction, mut tokens) = self.own(id, account, limit, settings);
+        let mut withheld = TokenCount::ZERO;
+        for piece in self.pieces(id, account) {
+            if piece.deadline >= moment {
+                fraction = fraction.plus(piece.fraction);
+                withheld += piece.kept;
+                tokens += piece.tokens;
+            }
+        }
+        tokens + fraction.of_burst(limit.burst).saturating_sub(withheld)
+    }
+
     /// Lists borrowed capacity, the longest-lived first.
     fn pieces(&self, id: &AccountId, account: &AccountState) -> Vec<CapacityPiece> {
         let parts = self
--- a/crates/clementinepond_measure/src/experiment/limits/client.rs
+++ b/crates/clementinepond_measure/src/experiment/limits/client.rs
@@ -21,15 +21,15 @@
 const PART_PRIORITY: u8 = 200;
 
 impl FleetSimulation {
-    fn draw_exponential(&mut self, mean: f64) -> u64 {
-        let uniform: f64 = self.rng.random_range(1e-9..1.0);
+    fn draw_exponential(&mut self, account: usize, mean: f64) -> u64 {
+        let uniform: f64 = self.traffic[account].random_range(1e-9..1.0);
         (-uniform.ln() * mean) as u64
     }
 
     pub(super) fn arrive(&mut self, account: usize) {
         let plan = self.plan.accounts[account];
         self.schedule_arrival(account);
-        let request = RequestPlan::draw(account, &plan, &mut self.rng);
+        let request = RequestPlan::draw(account, &plan, &mut self.traffic[account]);
         let Some(vm) = self.balance(account) else {
             return;
         };
@@ -67,14 +67,14 @@
             } else {
                 BURST_LENGTH
             };
-            let length = self.draw_exponential(mean);
+            let length = self.draw_exponential(account, mean);
             self.bursts[account] = (self.now + length, !is_on);
         }
         let (ends, is_on) = self.bursts[account];
         let rate =
             (plan.limit.rate.micro() / 1_000_000) as f64 * plan.load as f64 * plan.peak as f64
                 / 1e6;
-        let gap = self.draw_exponential(1e6 * MEAN_COST as f64 / rate.max(1e-3));
+        let gap = self.draw_exponential(account, 1e6 * MEAN_COST as f64 / rate.max(1e-3));
         let at = if is_on {
             self.now + gap.max(1)
         } else {
@@ -85,13 +85,13 @@
 
     fn balance(&mut self, account: usize) -> Option<usize> {
         let favourites = &self.favourites[account];
-        let is_favoured =
-            self.plan.balance == BalancePlan::Skewed && self.rng.random_range(0..100) < 80;
+        let rng = &mut self.traffic[account];
+        let is_favoured = rng.random_range(0..100) < 80 && self.plan.balance == BalancePlan::Skewed;
         let all = self.vms.len();
         let first = if is_favoured && !favourites.is_empty() {
-            favourites[self.rng.random_range(0..favourites.len())]
+            favourites[rng.random_range(0..favourites.len())]
         } else {
-            self.rng.random_range(0..all)
+            rng.random_range(0..all)
         };
         (0..all)
             .map(|step| (first + step) % all)
--- a/crates/clementinepond_measure/src/experiment/limits/fleet.rs
+++ b/crates/clementinepond_measure/src/experiment/limits/fleet.rs
@@ -112,6 +112,7 @@
     pub(super) pending: BTreeMap<TicketId, PendingAsk>,
     pub(super) streams: BTreeMap<u64, TokenStream>,
     pub(super) stream_count: u64,
+    pub(super) traffic: Vec<ChaCha8Rng>,
     pub(super) bursts: Vec<(u64, bool)>,
     pub(super) favourites: Vec<Vec<usize>>,
     next_ticket: u64,
@@ -182,6 +183,9 @@
                 .map(|index| CentralBucket::new(limit(index)))
                 .collect(),
             cut_until: vec![0; plan.centres.len()],
+            traffic: (0..count as u64)
+                .map(|index| ChaCha8Rng::seed_from_u64(plan.seed ^ ((index + 1) << 32)))
+                .collect(),
             bursts: vec![(0, false); count],
             outcome: FleetOutcome {
                 accounts: (0..count).map(|_| AccountOutcome::default()).collect(),
