--- a/crates/clementinepond_decide/src/crash/guard.rs
+++ b/crates/clementinepond_decide/src/crash/guard.rs
@@ -95,10 +95,7 @@
     asked_at: LocalTime,
     now: LocalTime,
 ) -> Vec<CrashEffect> {
-    let stale = runs_at(state, endpoint, |loss, run| {
-        loss.incarnation != incarnation && asked_at > run.started_at
-    });
-    let mut effects = break_runs(state, &stale, now);
+    let mut effects = Vec::new();
     let judged = state
         .losses
         .judged_by_report(endpoint, incarnation, asked_at);
@@ -114,7 +111,7 @@
     endpoint: &EndpointId,
     now: LocalTime,
 ) -> Vec<CrashEffect> {
-    let runs = runs_at(state, endpoint, |_, _| true);
+    let runs = runs_at(state, endpoint);
     let mut effects = break_runs(state, &runs, now);
     for loss in state.losses.pending_at(endpoint) {
         effects.extend(learn(state, &loss, LossFate::Unreachable, now));
@@ -122,19 +119,12 @@
     effects
 }
 
-fn runs_at(
-    state: &CrashState,
-    endpoint: &EndpointId,
-    is_wanted: impl Fn(&EndpointLoss, &InFlight) -> bool,
-) -> Vec<CrashTicket> {
+fn runs_at(state: &CrashState, endpoint: &EndpointId) -> Vec<CrashTicket> {
     state
         .runs
         .iter()
         .filter(|(_, entry)| match entry {
-            RunEntry::InFlight(run) => {
-                let loss = &run.stage.loss;
-                loss.endpoint == *endpoint && is_wanted(loss, &run.stage)
-            }
+            RunEntry::InFlight(run) => run.stage.loss.endpoint == *endpoint,
             _ => false,
         })
         .map(|(ticket, _)| *ticket)
--- /dev/null
+++ b/crates/clementinepond_measure/src/experiment/claims/callers.rs
@@ -0,0 +1,261 @@
+//! Callers, their keys, and the runs of their calls.
+
+use super::tally::{CallEnd, ClaimTally, service_answer};
+use super::world::{ClaimWorld, FakeCall, FakeKey, MS, WorldEvent};
+use clementinepond_decide::claim::{
+    BodyFingerprint, ClaimEffect, ClaimEvent, ClaimTicket, KeyDate, RunOutcome,
+};
+use clementinepond_types::{AccountId, LocalTime, RouteName, TimeSpan};
+use rand::RngExt as _;
+
+/// Longest time that a caller waits for the dispatch, in microseconds.
+const DISPATCH_LIMIT: u64 = 5_000 * MS;
+/// Times that a caller repeats a call that was not answered.
+const ATTEMPT_LIMIT: u32 = 6;
+/// Calls sent to several VMs at once, in thousandths.
+const DOUBLED_CALLS: u32 = 150;
+/// Grants that the edge gives back without a run, in thousandths.
+const RETURNED_GRANTS: u32 = 20;
+/// Callers that go away before the grant, in thousandths.
+const ABANDONED_CALLS: u32 = 10;
+
+impl ClaimWorld {
+    /// Makes a key and calls with it.
+    pub(super) fn arrival(&mut self, at: u64) {
+        if at >= self.scenario.arrivals.micros() {
+            return;
+        }
+        let mean = 1_000_000 / self.scenario.calls_per_second.max(1);
+        let gap = self.random.random_range(1..=2 * mean);
+        self.queue.push(at + gap, WorldEvent::Arrival);
+        let key = self.keys.len() as u64;
+        let is_dated = self.chance(500);
+        self.keys.insert(
+            key,
+            FakeKey {
+                created_at: at,
+                is_dated,
+                runs: 0,
+            },
+        );
+        self.call(key, 0, at);
+        while self.chance(DOUBLED_CALLS) {
+            let delay = self.random.random_range(0..5 * MS);
+            self.queue
+                .push(at + delay, WorldEvent::Call { key, attempt: 0 });
+        }
+    }
+
+    /// Sends a call to a VM that is up.
+    pub(super) fn call(&mut self, key: u64, attempt: u32, at: u64) {
+        let up: Vec<usize> = (0..self.nodes.len())
+            .filter(|&node| self.nodes[node].is_up)
+            .collect();
+        if up.is_empty() {
+            return;
+        }
+        let node = up[self.random.random_range(0..up.len())];
+        let incarnation = self.nodes[node].incarnation;
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.calls.insert(
+            ticket,
+            FakeCall {
+                key,
+                attempt,
+                node,
+                incarnation,
+                at,
+                is_ended: false,
+                is_dispatched: false,
+            },
+        );
+        let Some(event) = self.ask_event(ticket, key, node, at) else {
+            return;
+        };
+        self.later(node, incarnation, event, at);
+        if self.chance(ABANDONED_CALLS) {
+            let ticket = ClaimTicket::new(ticket);
+            let delay = self.random.random_range(0..500 * MS);
+            let event = ClaimEvent::Abandoned { ticket };
+            self.later(node, incarnation, event, at + delay);
+        }
+    }
+
+    fn ask_event(&self, ticket: u64, key: u64, node: usize, at: u64) -> Option<ClaimEvent> {
+        let account: AccountId = "account".parse().ok()?;
+        let route: RouteName = "submit".parse().ok()?;
+        let info = self.keys.get(&key)?;
+        let age = TimeSpan::from_micros(at - info.created_at);
+        let date = if info.is_dated {
+            KeyDate::Past(age)
+        } else {
+            KeyDate::Undated
+        };
+        Some(ClaimEvent::Ask {
+            ticket: ClaimTicket::new(ticket),
+            account,
+            route,
+            key: format!("key-{key}").into(),
+            date,
+            fingerprint: BodyFingerprint::of(&key.to_le_bytes()),
+            deadline: self.nodes[node].clock(at + DISPATCH_LIMIT),
+        })
+    }
+
+    /// Sends a granted call to an endpoint, unless its time is over.
+    pub(super) fn dispatch(
+        &mut self,
+        node: usize,
+        incarnation: u64,
+        ticket: ClaimTicket,
+        deadline: LocalTime,
+        at: u64,
+    ) {
+        if self.nodes[node].incarnation != incarnation || !self.nodes[node].is_up {
+            return;
+        }
+        let is_returned = self.chance(RETURNED_GRANTS);
+        if self.nodes[node].clock(at) >= deadline || is_returned {
+            self.apply(node, ClaimEvent::NotDispatched { ticket }, at);
+            self.end(ticket, CallEnd::NotRun, at);
+            return;
+        }
+        self.count_run(ticket, at);
+        self.apply(node, ClaimEvent::Dispatched { ticket }, at);
+        let duration = self.random.random_range(20 * MS..2_000 * MS);
+        self.queue.push(
+            at + duration,
+            WorldEvent::RunDone {
+                node,
+                incarnation,
+                ticket,
+            },
+        );
+    }
+
+    fn count_run(&mut self, ticket: ClaimTicket, at: u64) {
+        let Some(call) = self.calls.get_mut(&ticket.get()) else {
+            return;
+        };
+        if call.is_ended {
+            self.tally.false_not_run += 1;
+        }
+        if at > call.at + DISPATCH_LIMIT + DISPATCH_LIMIT / 1_000 {
+            self.tally.late_dispatches += 1;
+        }
+        call.is_dispatched = true;
+        self.tally.waits.push(at - call.at);
+        if let Some(key) = self.keys.get_mut(&call.key) {
+            key.runs += 1;
+            if key.runs > 1 {
+                self.tally.extra_runs += 1;
+            }
+        }
+    }
+
+    pub(super) fn run_done(&mut self, node: usize, incarnation: u64, ticket: ClaimTicket, at: u64) {
+        if self.nodes[node].incarnation != incarnation || !self.nodes[node].is_up {
+            return;
+        }
+        let Some(call) = self.calls.get(&ticket.get()) else {
+            return;
+        };
+        let key = call.key;
+        let is_broken = self.chance(self.scenario.faults.broken_runs);
+        let (outcome, end) = if is_broken {
+            (RunOutcome::Unknown, CallEnd::Unknown)
+        } else {
+            let answer = Some(service_answer(key));
+            (RunOutcome::Answered(answer), CallEnd::Ran)
+        };
+        self.apply(node, ClaimEvent::Ended { ticket, outcome }, at);
+        self.end(ticket, end, at);
+    }
+
+    /// Takes the end that the decision code gave to a call.
+    pub(super) fn call_ended(&mut self, effect: ClaimEffect, at: u64) {
+        match effect {
+            ClaimEffect::Refused { ticket, reason } => {
+                self.tally.count_refusal(reason);
+                let call = self.calls.get(&ticket.get());
+                let has_run = call.is_some_and(|call| {
+                    let key_runs = self.keys.get(&call.key).map_or(0, |key| key.runs);
+                    call.is_dispatched || (reason.clears_key() && key_runs > 0)
+                });
+                self.tally.false_not_run += u64::from(has_run);
+                self.end(ticket, CallEnd::NotRun, at);
+            }
+            ClaimEffect::Replay { ticket, answer } => {
+                let key = self.calls.get(&ticket.get()).map(|call| call.key);
+                let end = match answer {
+                    Some(answer) => {
+                        let is_own = key.is_some_and(|key| service_answer(key) == answer);
+                        self.tally.crossed_answers += u64::from(!is_own);
+                        CallEnd::Replayed
+                    }
+                    None => CallEnd::AnswerNotHeld,
+                };
+                self.end(ticket, end, at);
+            }
+            ClaimEffect::Unknown { ticket, .. } => self.end(ticket, CallEnd::Unknown, at),
+            _ => {}
+        }
+    }
+
+    /// Ends a call once, and lets its caller decide whether to repeat it.
+    pub(super) fn end(&mut self, ticket: ClaimTicket, end: CallEnd, at: u64) {
+        let Some(call) = self.calls.get_mut(&ticket.get()) else {
+            return;
+        };
+        if call.is_ended {
+            return;
+        }
+        call.is_ended = true;
+        let (key, attempt) = (call.key, call.attempt);
+        self.tally.count(end);
+        let is_answered = matches!(
+            end,
+            CallEnd::Ran | CallEnd::Replayed | CallEnd::AnswerNotHeld
+        );
+        let repeats = if is_answered {
+            let chance = self.scenario.repeats;
+            self.chance(chance)
+        } else {
+            true
+        };
+        if repeats && attempt < ATTEMPT_LIMIT {
+            let delay = self.repeat_delay(is_answered);
+            let attempt = attempt + 1;
+            self.queue
+                .push(at + delay, WorldEvent::Call { key, attempt });
+        }
+    }
+
+    fn repeat_delay(&mut self, is_answered: bool) -> u64 {
+        if is_answered && self.chance(300) {
+            return self.random.random_range(5_000 * MS..40_000 * MS);
+        }
+        self.random.random_range(50 * MS..2_000 * MS)
+    }
+
+    /// Counts what is left at the end.
+    pub(super) fn finish(mut self, end: u64) -> ClaimTally {
+        for call in self.calls.values() {
+            let node = &self.nodes[call.node];
+            let is_alive = node.is_up && node.incarnation == call.incarnation;
+            let is_due = call.at + 3 * DISPATCH_LIMIT < end;
+            if !call.is_ended && is_alive && is_due {
+                self.tally.lost_calls += 1;
+            }
+        }
+        self.tally.keys = self.keys.len() as u64;
+        self.tally.keys_run = self.keys.values().filter(|key| key.runs > 0).count() as u64;
+        self.tally.writes = self.platform.writes;
+        self.tally.reads = self.platform.reads;
+        #[expect(clippy::cast_precision_loss, reason = "a run lasts minutes")]
+        let seconds = self.scenario.arrivals.millis() as f64 / 1_000.0;
+        self.tally.seconds = seconds;
+        self.tally
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_measure/src/experiment/claims/node.rs
@@ -0,0 +1,102 @@
+//! One VM: the decision code, its clock, and whether it runs.
+
+use super::baseline::BaselineClaims;
+use clementinepond_decide::claim::{
+    ClaimEffect, ClaimEvent, ClaimSettings, ClaimState, VmIncarnation, reduce,
+};
+use clementinepond_types::{DataCentreId, LocalTime, VmId};
+
+/// Parts in which the rate of a clock is counted.
+const CLOCK_PARTS: u64 = 100_000;
+
+/// Claims of one VM by one policy.
+#[derive(Debug)]
+pub(super) enum NodeClaims {
+    Current(Box<ClaimState>),
+    Baseline(BaselineClaims),
+}
+
+/// One VM.
+#[derive(Debug)]
+pub(super) struct FakeNode {
+    pub(super) vm: VmId,
+    pub(super) data_centre: DataCentreId,
+    pub(super) claims: NodeClaims,
+    pub(super) incarnation: u64,
+    /// Moment until which nothing runs on the VM.
+    pub(super) paused_until: u64,
+    pub(super) is_up: bool,
+    clock_offset: u64,
+    clock_rate: u64,
+}
+
+impl FakeNode {
+    pub(super) fn new(
+        vm: VmId,
+        data_centre: DataCentreId,
+        settings: &ClaimSettings,
+        is_baseline: bool,
+        number: u64,
+    ) -> Self {
+        let incarnation = number;
+        let claims = start(&vm, &data_centre, settings, is_baseline, incarnation);
+        Self {
+            vm,
+            data_centre,
+            claims,
+            incarnation,
+            paused_until: 0,
+            is_up: true,
+            clock_offset: 7_000_000 * number + 1,
+            clock_rate: CLOCK_PARTS + number,
+        }
+    }
+
+    /// Starts a new process that remembers nothing.
+    pub(super) fn restart(&mut self, settings: &ClaimSettings, incarnation: u64) {
+        let is_baseline = matches!(self.claims, NodeClaims::Baseline(_));
+        self.incarnation = incarnation;
+        self.claims = start(
+            &self.vm,
+            &self.data_centre,
+            settings,
+            is_baseline,
+            incarnation,
+        );
+        self.is_up = true;
+        self.paused_until = 0;
+    }
+
+    /// Reads the VM's own clock.
+    pub(super) fn clock(&self, at: u64) -> LocalTime {
+        LocalTime::from_micros(
+            self.clock_offset + at / CLOCK_PARTS * self.clock_rate + at % CLOCK_PARTS,
+        )
+    }
+
+    pub(super) fn apply(&mut self, event: ClaimEvent, at: u64) -> Vec<ClaimEffect> {
+        let now = self.clock(at);
+        match &mut self.claims {
+            NodeClaims::Current(state) => reduce(state, event, now),
+            NodeClaims::Baseline(claims) => claims.apply(event, now),
+        }
+    }
+}
+
+fn start(
+    vm: &VmId,
+    data_centre: &DataCentreId,
+    settings: &ClaimSettings,
+    is_baseline: bool,
+    incarnation: u64,
+) -> NodeClaims {
+    if is_baseline {
+        return NodeClaims::Baseline(BaselineClaims::new(vm.clone(), incarnation));
+    }
+    NodeClaims::Current(Box::new(ClaimState::new(
+        settings.clone(),
+        vm.clone(),
+        data_centre.clone(),
+        VmIncarnation::new(incarnation),
+    )))
+}
--- a/crates/clementinepond_measure/src/experiment/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/mod.rs
@@ -1,5 +1,8 @@
 //! The list of experiments.
 
+pub mod claims;
+pub mod crash;
+
 use crate::ExperimentReport;
 
 /// One experiment that can be run by name.
@@ -14,7 +17,18 @@
 }
 
 /// Every experiment, in the order of `measure list`.
-pub const EXPERIMENTS: &[ExperimentEntry] = &[];
+pub const EXPERIMENTS: &[ExperimentEntry] = &[
+    ExperimentEntry {
+        name: "claims",
+        about: "keyed calls: runs beyond one, platform writes, cost of faults",
+        run: claims::run,
+    },
+    ExperimentEntry {
+        name: "crash",
+        about: "poison requests: endpoints lost, innocent requests refused",
+        run: crash::run,
+    },
+];
 
 /// Finds an experiment by name.
 #[must_use]
