--- a/crates/clementinepond_measure/src/experiment/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/mod.rs
@@ -1,6 +1,8 @@
 //! The list of experiments.
 
 pub mod limits;
+pub mod claims;
+pub mod crash;
 
 use crate::ExperimentReport;
 
@@ -21,6 +23,18 @@
     about: "rate and burst over all VMs: refusals inside the rate, the worst-served account",
     run: limits::run,
 }];
+pub const EXPERIMENTS: &[ExperimentEntry] = &[
+    ExperimentEntry {
+        name: "claims",
+        about: "keyed calls: runs beyond one, platform writes, cost of faults",
+        run: claims::run,
+    },
+    ExperimentEntry {
+        name: "crash",
+        about: "poison requests: endpoints lost, innocent requests refused",
+        run: crash::run,
+    },
+];
 
 /// Finds an experiment by name.
 #[must_use]
