--- a/crates/clementinepond_decide/src/plan/settings.rs
+++ b/crates/clementinepond_decide/src/plan/settings.rs
@@ -51,9 +51,9 @@
     pub candidate_read_interval: TimeSpan,
     /// Time between two reads of any other VM.
     pub observer_read_interval: TimeSpan,
-    /// Number of candidates.
+    /// Number of VMs that read as candidates; any VM may take a free lease.
     pub candidates: u32,
-    /// Time that a candidate leaves to each earlier one.
+    /// Time that a VM leaves to each one that comes before it.
     pub candidate_stagger: TimeSpan,
     /// Time between two plans.
     pub plan_interval: TimeSpan,
--- a/crates/clementinepond_decide/src/plan/upkeep.rs
+++ b/crates/clementinepond_decide/src/plan/upkeep.rs
@@ -50,7 +50,6 @@
     if let LeasePhase::Follower(lease) = &state.phase
         && let Some(seen) = &lease.state.seen
         && !state.releasing
-        && is_candidate
         && now >= acquirable_at(state, seen, rank)
     {
         let seen = seen.clone();
--- a/crates/clementinepond_decide/src/plan/view.rs
+++ b/crates/clementinepond_decide/src/plan/view.rs
@@ -135,16 +135,21 @@
 
 /// Returns how many copies of a model this data centre must keep.
 ///
-/// Each model has a home data centre. Another one may go without a copy as
-/// long as it can reach a data centre that has one ready.
+/// Each model has a home data centre, which always keeps a copy. Another one
+/// may go without as long as it can reach the home and the home has a copy
+/// ready; two that relied on each other could both let go.
 pub(super) fn required_here(state: &PlanState, model: &ModelId) -> u32 {
     let Some(spec) = state.catalogue.models.get(model) else {
         return 0;
     };
-    let home = state.catalogue.home(model);
-    let is_home = home.is_none_or(|home| *home == state.data_centre);
-    let is_elsewhere = state.peers.values().any(|ready| ready.contains(model));
-    u32::from(spec.resident || is_home || !is_elsewhere)
+    let is_kept_at_home = state.catalogue.home(model).is_some_and(|home| {
+        *home != state.data_centre
+            && state
+                .peers
+                .get(home)
+                .is_some_and(|ready| ready.contains(model))
+    });
+    u32::from(spec.resident || !is_kept_at_home)
 }
 
 fn endpoint_view(state: &PlanState, entry: &EndpointEntry, now: LocalTime) -> Option<EndpointView> {
--- a/crates/clementinepond_decide/src/plan/writing.rs
+++ b/crates/clementinepond_decide/src/plan/writing.rs
@@ -18,15 +18,11 @@
 }
 
 /// Returns whether orders may go to an endpoint in this phase.
+///
+/// Endpoints that check fencing wait as the others do: one that restarts
+/// forgets the largest fencing number it has seen.
 pub(super) fn may_order(phase: &LeasePhase, entry: &EndpointEntry) -> bool {
-    let Some(spec) = entry.spec else {
-        return false;
-    };
-    match phase {
-        LeasePhase::Holding(_) => true,
-        LeasePhase::Waiting(_) => spec.checks_fencing,
-        LeasePhase::Follower(_) | LeasePhase::Acquiring(_) => false,
-    }
+    entry.spec.is_some() && matches!(phase, LeasePhase::Holding(_))
 }
 
 /// Reserves for an order, which waits until its intent is written.
