--- a/crates/clementinepond_decide/src/plan/settings.rs
+++ b/crates/clementinepond_decide/src/plan/settings.rs
@@ -3,9 +3,10 @@
 use super::planner::PlannerTuning;
 use clementinepond_types::TimeSpan;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 /// Guard that a test removes to show that it is needed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum PlanMutation {
     /// Ends a reservation when the endpoint answers the order.
     ReleaseOnAck,
@@ -65,9 +66,9 @@
     pub report_timeout: TimeSpan,
     /// Weights of the planner.
     pub tuning: PlannerTuning,
-    /// Guard to remove in a test.
+    /// Guards to remove in a test.
     #[serde(skip)]
-    pub mutation: Option<PlanMutation>,
+    pub mutations: BTreeSet<PlanMutation>,
 }
 
 impl Default for PlanSettings {
@@ -86,7 +87,7 @@
             drain: TimeSpan::from_secs(5),
             report_timeout: TimeSpan::from_secs(10),
             tuning: PlannerTuning::default(),
-            mutation: None,
+            mutations: BTreeSet::new(),
         }
     }
 }
@@ -95,7 +96,7 @@
     /// Returns whether a guard is removed.
     #[must_use]
     pub fn mutated(&self, mutation: PlanMutation) -> bool {
-        self.mutation == Some(mutation)
+        self.mutations.contains(&mutation)
     }
 
     /// Returns the shortest time that another clock may show for a span.
--- a/crates/clementinepond_decide/src/plan/writing.rs
+++ b/crates/clementinepond_decide/src/plan/writing.rs
@@ -163,7 +163,8 @@
 /// Returns the fencing number and the deadline of an order that leaves now.
 fn authority(state: &PlanState, now: LocalTime) -> Option<(FencingNumber, LocalTime)> {
     let term = state.phase.term()?;
-    if now >= term.deadline {
+    // A release may have landed although its answer has not come yet.
+    if now >= term.deadline || state.releasing {
         return None;
     }
     if state.settings.mutated(PlanMutation::OrdersWithoutDeadline) {
