--- a/crates/clementinepond_measure/src/experiment/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/mod.rs
@@ -1,5 +1,7 @@
 //! The list of experiments.
 
+pub mod placement;
+
 use crate::ExperimentReport;
 
 /// One experiment that can be run by name.
@@ -14,7 +16,23 @@
 }
 
 /// Every experiment, in the order of `measure list`.
-pub const EXPERIMENTS: &[ExperimentEntry] = &[];
+pub const EXPERIMENTS: &[ExperimentEntry] = &[
+    ExperimentEntry {
+        name: "placement",
+        about: "attainment and moves of the plan while demand moves tenfold within the hour",
+        run: placement::run,
+    },
+    ExperimentEntry {
+        name: "placement-recovery",
+        about: "1,000 schedules in which the plan holder is killed in the middle of its moves",
+        run: placement::run_recovery,
+    },
+    ExperimentEntry {
+        name: "placement-time",
+        about: "time of one plan; read from this machine's clock, so not repeatable",
+        run: placement::run_time,
+    },
+];
 
 /// Finds an experiment by name.
 #[must_use]
--- /dev/null
+++ b/crates/clementinepond_measure/src/experiment/placement/fake/world_event.rs
@@ -0,0 +1,90 @@
+//! What happens in the world at one moment.
+
+use super::FakeKey;
+use clementinepond_decide::plan::{EndpointAction, OrderNumber, PlanEffect, PlanEvent, PlanObject};
+use clementinepond_types::{FencingNumber, ObjectVersion};
+use std::cmp::Ordering;
+
+/// Order on its way to an engine.
+#[derive(Debug, Clone)]
+pub(super) struct FlyingOrder {
+    pub(super) vm: usize,
+    pub(super) number: OrderNumber,
+    pub(super) fencing: FencingNumber,
+    pub(super) action: EndpointAction,
+}
+
+/// What happens at one moment.
+#[derive(Debug)]
+pub(super) enum WorldEvent {
+    Tick {
+        vm: usize,
+        life: u32,
+    },
+    Deliver {
+        vm: usize,
+        life: u32,
+        event: PlanEvent,
+    },
+    Act {
+        vm: usize,
+        life: u32,
+        effect: PlanEffect,
+    },
+    ReadArrives {
+        vm: usize,
+        life: u32,
+    },
+    StoreArrives {
+        vm: usize,
+        life: u32,
+        object: Box<PlanObject>,
+        if_version: ObjectVersion,
+        is_answered: bool,
+    },
+    OrderActs {
+        endpoint: usize,
+        order: FlyingOrder,
+    },
+    Loaded {
+        endpoint: usize,
+        incarnation: u64,
+        key: FakeKey,
+    },
+    Unloaded {
+        endpoint: usize,
+        incarnation: u64,
+        key: FakeKey,
+    },
+    Report {
+        endpoint: usize,
+    },
+}
+
+/// Event with its moment; the earliest is the greatest.
+#[derive(Debug)]
+pub(super) struct TimedEvent {
+    pub(super) at: u64,
+    pub(super) sequence: u64,
+    pub(super) event: WorldEvent,
+}
+
+impl PartialEq for TimedEvent {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for TimedEvent {}
+
+impl PartialOrd for TimedEvent {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for TimedEvent {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (other.at, other.sequence).cmp(&(self.at, self.sequence))
+    }
+}
