--- a/crates/clementinepond_decide/src/plan/writing.rs
+++ b/crates/clementinepond_decide/src/plan/writing.rs
@@ -18,15 +18,11 @@
 }
 
 /// Returns whether orders may go to an endpoint in this phase.
+///
+/// Endpoints that check fencing wait as the others do: one that restarts
+/// forgets the largest fencing number it has seen.
 pub(super) fn may_order(phase: &LeasePhase, entry: &EndpointEntry) -> bool {
-    let Some(spec) = entry.spec else {
-        return false;
-    };
-    match phase {
-        LeasePhase::Holding(_) => true,
-        LeasePhase::Waiting(_) => spec.checks_fencing,
-        LeasePhase::Follower(_) | LeasePhase::Acquiring(_) => false,
-    }
+    entry.spec.is_some() && matches!(phase, LeasePhase::Holding(_))
 }
 
 /// Reserves for an order, which waits until its intent is written.
@@ -167,7 +163,8 @@
 /// Returns the fencing number and the deadline of an order that leaves now.
 fn authority(state: &PlanState, now: LocalTime) -> Option<(FencingNumber, LocalTime)> {
     let term = state.phase.term()?;
-    if now >= term.deadline {
+    // A release may have landed although its answer has not come yet.
+    if now >= term.deadline || state.releasing {
         return None;
     }
     if state.settings.mutated(PlanMutation::OrdersWithoutDeadline) {
--- a/crates/clementinepond_measure/src/experiment/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/mod.rs
@@ -3,6 +3,7 @@
 pub mod limits;
 pub mod claims;
 pub mod crash;
+pub mod placement;
 
 use crate::ExperimentReport;
 
@@ -33,6 +34,21 @@
         name: "crash",
         about: "poison requests: endpoints lost, innocent requests refused",
         run: crash::run,
+pub const EXPERIMENTS: &[ExperimentEntry] = &[
+    ExperimentEntry {
+        name: "placement",
+        about: "attainment and moves of the plan while demand moves tenfold within the hour",
+        run: placement::run,
+    },
+    ExperimentEntry {
+        name: "placement-recovery",
+        about: "1,000 schedules in which the plan holder is killed in the middle of its moves",
+        run: placement::run_recovery,
+    },
+    ExperimentEntry {
+        name: "placement-time",
+        about: "time of one plan; read from this machine's clock, so not repeatable",
+        run: placement::run_time,
     },
 ];
 
