--- a/crates/clementinepond_standin/tests/openai_client.rs
+++ b/crates/clementinepond_standin/tests/openai_client.rs
@@ -1,7 +1,5 @@
 //! The engine stand-in, seen by a real client library.
 
-#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
-
 use async_openai::Client;
 use async_openai::config::OpenAIConfig;
 use async_openai::types::chat::{ChatCompletionRequestUserMessage, CreateChatCompletionRequest};
