--- /dev/null
+++ b/crates/clementinepond_model/src/explore/mod.rs
@@ -0,0 +1,11 @@
+//! Exhaustive exploration of a specification.
+
+mod entry;
+mod explorer;
+mod report;
+mod specification;
+
+pub use entry::{MutationEntry, MutationError, SpecificationEntry};
+pub(crate) use explorer::explore;
+pub use report::{Bounds, Counterexample, ExplorationReport};
+pub(crate) use specification::Specification;
--- a/crates/clementinepond_model/src/lib.rs
+++ b/crates/clementinepond_model/src/lib.rs
@@ -1,1 +1,20 @@
-//! Placeholder.
+//! A small specification of the core protocol, explored exhaustively.
+//!
+//! Each part has a folder with its state, its steps, its invariants and its
+//! mutations. A step is anything that may happen next: a VM acts, a message
+//! arrives, a clock advances, a process crashes. Messages stay in the state
+//! after they arrive, so that loss, doubling, reordering and delay need no
+//! steps of their own. A mutation removes one guard; each must lead to a
+//! breach, which is told as a trace.
+//!
+//! The specification shares no code with the product.
+
+mod configuration;
+mod explore;
+
+pub use explore::{
+    Bounds, Counterexample, ExplorationReport, MutationEntry, MutationError, SpecificationEntry,
+};
+
+/// All specifications.
+pub const SPECIFICATIONS: &[SpecificationEntry] = &[configuration::ENTRY];
