--- a/crates/clementinepond_measure/src/experiment/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/mod.rs
@@ -1,8 +1,8 @@
 //! The list of experiments.
 
-pub mod limits;
 pub mod claims;
 pub mod crash;
+pub mod limits;
 pub mod placement;
 
 use crate::ExperimentReport;
@@ -19,12 +19,12 @@
 }
 
 /// Every experiment, in the order of `measure list`.
-pub const EXPERIMENTS: &[ExperimentEntry] = &[ExperimentEntry {
-    name: "limits",
-    about: "rate and burst over all VMs: refusals inside the rate, the worst-served account",
-    run: limits::run,
-}];
 pub const EXPERIMENTS: &[ExperimentEntry] = &[
+    ExperimentEntry {
+        name: "limits",
+        about: "rate and burst over all VMs: refusals inside the rate, the worst-served account",
+        run: limits::run,
+    },
     ExperimentEntry {
         name: "claims",
         about: "keyed calls: runs beyond one, platform writes, cost of faults",
@@ -34,7 +34,7 @@
         name: "crash",
         about: "poison requests: endpoints lost, innocent requests refused",
         run: crash::run,
-pub const EXPERIMENTS: &[ExperimentEntry] = &[
+    },
     ExperimentEntry {
         name: "placement",
         about: "attainment and moves of the plan while demand moves tenfold within the hour",
