--- a/crates/clementinepond_decide/src/limit/loan.rs
+++ b/crates/clementinepond_decide/src/limit/loan.rs
@@ -29,6 +29,7 @@
         && moment <= now
     {
         state.start_wait = StartWait::Over;
+        state.rights.is_usable = true;
         state.resize_where(now, |_| true);
     }
 }
--- a/crates/clementinepond_decide/src/limit/reduce.rs
+++ b/crates/clementinepond_decide/src/limit/reduce.rs
@@ -12,7 +12,7 @@
 use super::settings::LimitMutation;
 use super::state::{LimitState, StartWait};
 use super::{effect::LimitEffect, loan};
-use clementinepond_types::{AccountId, LocalTime, TokenCount, VmId};
+use clementinepond_types::{AccountId, LocalTime, TimeSpan, TokenCount, VmId};
 
 /// Handles one event at `now` on the local clock.
 pub fn reduce(state: &mut LimitState, event: LimitEvent, now: LocalTime) -> Vec<LimitEffect> {
@@ -79,7 +79,10 @@
         .collect();
     let list = MemberList::new(&view.members);
     if state.start_wait == StartWait::Unknown {
-        let wait = state.settings.longest_grant(list.len());
+        let mut wait = state.settings.longest_grant(list.len());
+        if state.settings.has(LimitMutation::SkipStartWait) {
+            wait = TimeSpan::ZERO;
+        }
         state.start_wait = StartWait::Until(now + wait);
     }
     let is_moved = state.rights.current != list.digest();
--- a/crates/clementinepond_decide/src/limit/slice.rs
+++ b/crates/clementinepond_decide/src/limit/slice.rs
@@ -47,6 +47,8 @@
 pub(super) struct PartRights {
     pub(super) vm: VmId,
     pub(super) fraction: PartFraction,
+    /// Whether grants of an earlier process of this VM have lapsed.
+    pub(super) is_usable: bool,
     pub(super) lent: Vec<LentParts>,
     pub(super) borrowed: BTreeMap<VmId, BorrowedParts>,
     pub(super) rosters: BTreeMap<u64, MemberList>,
@@ -80,6 +82,7 @@
         Self {
             vm,
             fraction: PartFraction::ZERO,
+            is_usable: false,
             lent: Vec::new(),
             borrowed: BTreeMap::new(),
             rosters: BTreeMap::new(),
@@ -161,7 +164,8 @@
                 let most = self.fraction.of_burst(limit.burst);
                 (PartFraction::ZERO, kept.min(most))
             }
-            _ => (self.fraction, TokenCount::ZERO),
+            _ if self.is_usable => (self.fraction, TokenCount::ZERO),
+            _ => (PartFraction::ZERO, TokenCount::ZERO),
         }
     }
 
--- a/crates/clementinepond_decide/src/limit/state.rs
+++ b/crates/clementinepond_decide/src/limit/state.rs
@@ -3,10 +3,11 @@
 use super::account::AccountState;
 use super::event::TicketId;
 use super::home::MemberList;
+use super::loan;
 use super::message::{ChannelId, LoanStep};
 use super::peer::PeerTable;
 use super::reservation::TicketState;
-use super::settings::{LimitMutation, LimitSettings};
+use super::settings::LimitSettings;
 use super::slice::PartRights;
 use clementinepond_types::{
     AccountId, Epoch, LocalTime, ObjectVersion, TimeSpan, TokenCount, TokenRate, VmId,
@@ -124,10 +125,12 @@
         }
     }
 
-    /// Returns what an account has on this VM, as of the last event.
+    /// Returns what an account has on this VM at `now`.
     #[must_use]
-    pub fn account_status(&self, account: &AccountId) -> Option<AccountStatus> {
-        let account = self.accounts.get(account)?;
+    pub fn account_status(&mut self, account: &AccountId, now: LocalTime) -> Option<AccountStatus> {
+        loan::lapse(self, now);
+        let account = self.accounts.get_mut(account)?;
+        account.settle(now, &self.settings);
         let bucket = &account.bucket;
         Some(AccountStatus {
             level: bucket.level(),
@@ -156,7 +159,7 @@
 
     /// Returns whether this VM may use and lend its parts.
     pub(super) fn is_started(&self) -> bool {
-        self.start_wait == StartWait::Over || self.settings.has(LimitMutation::SkipStartWait)
+        self.rights.is_usable
     }
 
     /// Returns the interval between polls.
--- a/crates/clementinepond_measure/src/experiment/limits/fleet.rs
+++ b/crates/clementinepond_measure/src/experiment/limits/fleet.rs
@@ -52,6 +52,7 @@
     MoveParts {
         vm: usize,
     },
+    Audit,
 }
 
 /// One VM of the fleet.
@@ -66,7 +67,7 @@
     pub(super) is_stopped: bool,
     pub(super) is_leaving: bool,
     clock_offset: u64,
-    clock_ppm: i64,
+    pub(super) clock_ppm: i64,
 }
 
 impl FleetVm {
@@ -231,6 +232,9 @@
             let at = self.rng.random_range(0..SECOND);
             self.push(at, FleetEvent::Arrive { account });
         }
+        if self.plan.audit > 0 {
+            self.push(self.plan.audit, FleetEvent::Audit);
+        }
         for fault in self.plan.faults.clone() {
             self.push(fault.at, FleetEvent::Fault(fault.kind));
         }
@@ -308,6 +312,7 @@
             FleetEvent::Fault(kind) => self.strike(kind),
             FleetEvent::Heal { centre } => self.heal(centre),
             FleetEvent::MoveParts { vm } => self.move_parts(vm),
+            FleetEvent::Audit => self.audit(),
         }
     }
 
--- a/crates/clementinepond_measure/src/experiment/limits/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/limits/mod.rs
@@ -4,6 +4,7 @@
 //! loses, repeats and reorders messages and that is cut. Every run is checked
 //! against the exact bound over all windows, beside an equal static split.
 
+mod audit;
 mod central;
 mod client;
 mod fault;
--- a/crates/clementinepond_measure/src/experiment/limits/outcome.rs
+++ b/crates/clementinepond_measure/src/experiment/limits/outcome.rs
@@ -40,6 +40,8 @@
     pub stalls: Vec<u64>,
     /// Admissions that lapsed before their dispatch.
     pub lapsed: u64,
+    /// Audits that found more rights than an account has.
+    pub audit_breaches: u64,
     /// Length of the measured time, in microseconds.
     pub measured: u64,
     /// VMs at the start.
--- a/crates/clementinepond_measure/src/experiment/limits/plan.rs
+++ b/crates/clementinepond_measure/src/experiment/limits/plan.rs
@@ -138,6 +138,8 @@
     pub faults: Vec<FaultPlan>,
     /// Interval between ticks of a VM, in microseconds.
     pub tick: u64,
+    /// Interval between audits of all rights, in microseconds; none when 0.
+    pub audit: u64,
 }
 
 impl FleetPlan {
@@ -158,6 +160,7 @@
             settings: LimitSettings::default(),
             faults: Vec::new(),
             tick: 20_000,
+            audit: 0,
         }
     }
 }
--- a/crates/clementinepond_measure/src/experiment/limits/scenario.rs
+++ b/crates/clementinepond_measure/src/experiment/limits/scenario.rs
@@ -84,6 +84,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
     plan.network = NetworkPlan::faulty();
     plan.drift_ppm = 500;
+    plan.audit = 97_000;
     plan.warm_up = 0;
     plan.length = length;
     if rng.random_range(0..2) == 0 {
