--- a/crates/clementinepond_decide/src/limit/lot.rs
+++ b/crates/clementinepond_decide/src/limit/lot.rs
@@ -18,6 +18,7 @@
 #[derive(Debug)]
 pub(super) struct BorrowedChannel {
     pub(super) id: ChannelId,
+    lender: Option<u64>,
     step: u32,
     sent: VecDeque<(u32, LocalTime)>,
     granted: TokenCount,
@@ -31,6 +32,7 @@
     pub(super) fn new(id: ChannelId, now: LocalTime) -> Self {
         Self {
             id,
+            lender: None,
             step: 0,
             sent: VecDeque::new(),
             granted: TokenCount::ZERO,
@@ -46,6 +48,16 @@
         self.granted.saturating_sub(self.returned_capacity)
     }
 
+    pub(super) fn granted(&self) -> TokenCount {
+        self.granted
+    }
+
+    /// Returns whether the process that lends is the one that answered first.
+    pub(super) fn is_same_lender(&mut self, grant: &LotGrant, settings: &LimitSettings) -> bool {
+        let lender = *self.lender.get_or_insert(grant.lender);
+        lender == grant.lender || settings.has(LimitMutation::TrustRestartedLender)
+    }
+
     pub(super) fn deadline(&self) -> Option<LocalTime> {
         self.deadline
     }
--- a/crates/clementinepond_decide/src/limit/lot_exchange.rs
+++ b/crates/clementinepond_decide/src/limit/lot_exchange.rs
@@ -27,8 +27,10 @@
     let key = (from.clone(), report.channel);
     let is_home = state.rights.home(account) == Some(&state.rights.vm);
     let is_ordering = is_home && !report.items.is_empty();
-    let asks = !state.releasing && (is_ordering || report.want > TokenCount::ZERO);
-    if !account.lent.contains_key(&key) && !asks {
+    let is_unknown = report.granted > TokenCount::ZERO
+        && !account.lent.contains_key(&(from.clone(), report.channel));
+    let asks = !state.releasing && !is_unknown && (is_ordering || report.want > TokenCount::ZERO);
+    if !account.lent.contains_key(&key) && !asks && !is_unknown {
         return;
     }
     let lent = account
@@ -53,7 +55,7 @@
     if is_newer && asks {
         spare_wanted(state, from, &report, now);
     }
-    if asks || is_lasting {
+    if asks || is_lasting || is_unknown {
         outbox.grant(from, &id, report.channel);
     }
     serve::serve(state, &id, now, outbox);
@@ -157,8 +159,14 @@
     if channel.id != grant.channel {
         return;
     }
-    let added = channel.accept(grant, now, &state.settings);
-    account.bucket.borrow(added);
+    if channel.is_same_lender(grant, &state.settings) {
+        let added = channel.accept(grant, now, &state.settings);
+        account.bucket.borrow(added);
+    } else {
+        let lapsed = channel.outstanding();
+        account.borrowed.remove(from);
+        account.bucket.give_up(lapsed, TokenCount::ZERO);
+    }
     if let Some(answer) = account.round.answers.get_mut(from) {
         answer.hint = Some(grant.hint);
     }
--- a/crates/clementinepond_decide/src/limit/message.rs
+++ b/crates/clementinepond_decide/src/limit/message.rs
@@ -80,6 +80,8 @@
     pub channel: ChannelId,
     /// Number of the report within the channel.
     pub step: u32,
+    /// Capacity granted since the channel was opened, as far as is known.
+    pub granted: TokenCount,
     /// Capacity returned since the channel was opened.
     pub returned_capacity: TokenCount,
     /// Tokens returned since the channel was opened.
@@ -119,6 +121,8 @@
     pub account: AccountId,
     /// The channel.
     pub channel: ChannelId,
+    /// Incarnation of the lender.
+    pub lender: u64,
     /// Number of the last report seen.
     pub step: u32,
     /// Capacity and tokens granted since the channel was opened.
--- a/crates/clementinepond_decide/src/limit/outbox.rs
+++ b/crates/clementinepond_decide/src/limit/outbox.rs
@@ -124,6 +124,7 @@
         account: id.clone(),
         channel: channel.id,
         step: channel.next_step(now),
+        granted: channel.granted(),
         returned_capacity: channel.returned_capacity,
         returned_level: channel.returned_level,
         items,
@@ -168,6 +169,7 @@
     Some(LotGrant {
         account: id.clone(),
         channel,
+        lender: state.incarnation,
         step: lent.step,
         granted: lent.granted,
         time_left: now.until(deadline),
--- a/crates/clementinepond_measure/src/experiment/limits/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/limits/mod.rs
@@ -20,7 +20,7 @@
 mod stream;
 mod wire;
 
-pub use fleet::{FleetSimulation, SETTLE_TIME};
+pub use fleet::FleetSimulation;
 pub use ledger::{LimitChange, SpendLedger};
 pub use network::NetworkPlan;
 pub use outcome::{AccountOutcome, FleetOutcome};
--- a/crates/clementinepond_measure/src/experiment/limits/plan.rs
+++ b/crates/clementinepond_measure/src/experiment/limits/plan.rs
@@ -138,6 +138,8 @@
     pub faults: Vec<FaultPlan>,
     /// Interval between ticks of a VM, in microseconds.
     pub tick: u64,
+    /// Time after which a changed limit must be in force, in microseconds.
+    pub settle_time: u64,
     /// Interval between audits of all rights, in microseconds; none when 0.
     pub audit: u64,
 }
@@ -160,6 +162,7 @@
             settings: LimitSettings::default(),
             faults: Vec::new(),
             tick: 20_000,
+            settle_time: 8 * SECOND,
             audit: 0,
         }
     }
--- a/crates/clementinepond_measure/src/experiment/limits/scenario.rs
+++ b/crates/clementinepond_measure/src/experiment/limits/scenario.rs
@@ -85,6 +85,7 @@
     plan.network = NetworkPlan::faulty();
     plan.drift_ppm = 500;
     plan.audit = 97_000;
+    plan.settle_time += FAULT_SPAN;
     plan.warm_up = 0;
     plan.length = length;
     if rng.random_range(0..2) == 0 {
