--- a/crates/clementinepond_decide/src/limit/account.rs
+++ b/crates/clementinepond_decide/src/limit/account.rs
@@ -113,7 +113,7 @@
     fn resume_lapsed(&mut self, now: LocalTime, settings: &LimitSettings) {
         let bucket = &mut self.bucket;
         self.lent.retain(|_, channel| {
-            if channel.deadline > now {
+            if !channel.is_over(now) {
                 return true;
             }
             let outstanding = channel.outstanding();
--- a/crates/clementinepond_decide/src/limit/lot.rs
+++ b/crates/clementinepond_decide/src/limit/lot.rs
@@ -123,11 +123,13 @@
 /// Lender's end of a channel.
 #[derive(Debug)]
 pub(super) struct LentChannel {
-    pub(super) granted: TokenCount,
+    granted: TokenCount,
     returned_capacity: TokenCount,
     returned_level: TokenCount,
     pub(super) step: u32,
+    /// Latest moment until which the borrower may count on the channel.
     pub(super) deadline: LocalTime,
+    forget_at: LocalTime,
     pub(super) decided: BTreeSet<TicketId>,
 }
 
@@ -139,22 +141,39 @@
 }
 
 impl LentChannel {
-    pub(super) fn new(now: LocalTime) -> Self {
+    pub(super) fn new(now: LocalTime, forget_at: LocalTime) -> Self {
         Self {
             granted: TokenCount::ZERO,
             returned_capacity: TokenCount::ZERO,
             returned_level: TokenCount::ZERO,
             step: 0,
             deadline: now,
+            forget_at,
             decided: BTreeSet::new(),
         }
     }
 
+    pub(super) fn granted(&self) -> TokenCount {
+        self.granted
+    }
+
     /// Returns capacity that is lent and not yet returned.
     pub(super) fn outstanding(&self) -> TokenCount {
         self.granted.saturating_sub(self.returned_capacity)
     }
 
+    /// Returns whether the borrower can no longer count on the channel.
+    pub(super) fn is_over(&self, now: LocalTime) -> bool {
+        let is_unused = self.granted == TokenCount::ZERO;
+        self.deadline <= now && (!is_unused || self.forget_at <= now)
+    }
+
+    /// Adds a grant that lasts until `deadline`.
+    pub(super) fn grant(&mut self, amount: TokenCount, deadline: LocalTime) {
+        self.granted += amount;
+        self.deadline = self.deadline.max(deadline);
+    }
+
     /// Takes the borrower's totals in; returns what is new in them.
     pub(super) fn credit(
         &mut self,
--- a/crates/clementinepond_decide/src/limit/lot_exchange.rs
+++ b/crates/clementinepond_decide/src/limit/lot_exchange.rs
@@ -36,7 +36,7 @@
     let lent = account
         .lent
         .entry(key)
-        .or_insert_with(|| LentChannel::new(now + state.settings.lot_span));
+        .or_insert_with(|| LentChannel::new(now, now + state.settings.lot_span));
     let back = lent.credit(
         report.returned_capacity,
         report.returned_level,
@@ -123,19 +123,16 @@
     if amount == TokenCount::ZERO {
         return;
     }
-    let committed = account.bucket.lent() + account.bucket.held() + amount;
-    let assured = state
-        .rights
-        .assured_until(&report.account, account, committed, &state.settings);
-    if assured <= now + state.settings.lot_span_floor {
+    let key = (from.clone(), report.channel);
+    let Some(deadline) = state.lot_deadline(&report.account, &key, amount, now) else {
         return;
-    }
+    };
     let with_capacity = !state.settings.has(LimitMutation::LendWithoutCapacity);
     let Some(account) = state.accounts.get_mut(&report.account) else {
         return;
     };
-    if let Some(lent) = account.lent.get_mut(&(from.clone(), report.channel)) {
-        lent.granted += amount;
+    if let Some(lent) = account.lent.get_mut(&key) {
+        lent.grant(amount, deadline);
         account.bucket.lend(amount, with_capacity);
     }
 }
--- a/crates/clementinepond_decide/src/limit/outbox.rs
+++ b/crates/clementinepond_decide/src/limit/outbox.rs
@@ -161,17 +161,17 @@
     let assured = state
         .rights
         .assured_until(id, account, committed, &state.settings);
-    let deadline = assured.min(now + state.settings.lot_span);
+    let deadline = assured.min(now + state.lot_span());
     let account = state.accounts.get_mut(id)?;
     let hint = account.hint();
     let lent = account.lent.get_mut(&(to.clone(), channel))?;
-    lent.deadline = lent.deadline.max(deadline);
+    lent.grant(TokenCount::ZERO, deadline);
     Some(LotGrant {
         account: id.clone(),
         channel,
         lender: state.incarnation,
         step: lent.step,
-        granted: lent.granted,
+        granted: lent.granted(),
         time_left: now.until(deadline),
         denied,
         hint,
--- a/crates/clementinepond_decide/src/limit/serve.rs
+++ b/crates/clementinepond_decide/src/limit/serve.rs
@@ -79,13 +79,16 @@
     if account.bucket.level() < entry.cost {
         return None;
     }
+    if let Claimant::Remote { vm, channel, .. } = &entry.claimant {
+        let key = (vm.clone(), *channel);
+        return match account.lent.contains_key(&key) {
+            true => state.lot_deadline(id, &key, entry.cost, now),
+            false => Some(now),
+        };
+    }
     let committed = account.bucket.lent() + account.bucket.held() + entry.cost;
     let assured = state.rights.assured_until(id, account, committed, settings);
-    let needed = match entry.claimant {
-        Claimant::Local(_) => now,
-        Claimant::Remote { .. } => now + settings.lot_span_floor,
-    };
-    (assured > needed).then(|| assured.min(now + settings.dispatch_wait))
+    (assured > now).then(|| assured.min(now + settings.dispatch_wait))
 }
 
 fn give(
@@ -117,7 +120,7 @@
             let Some(lent) = account.lent.get_mut(&(vm.clone(), channel)) else {
                 return;
             };
-            lent.granted += entry.cost;
+            lent.grant(entry.cost, deadline);
             lent.decided.insert(ticket);
             account.bucket.lend(entry.cost, with_capacity);
             outbox.grant(&vm, id, channel);
--- a/crates/clementinepond_decide/src/limit/settings.rs
+++ b/crates/clementinepond_decide/src/limit/settings.rs
@@ -54,7 +54,7 @@
     pub queue_wait: TimeSpan,
     /// Longest time between an admission and its dispatch.
     pub dispatch_wait: TimeSpan,
-    /// Life of a lot.
+    /// Longest life of a lot.
     pub lot_span: TimeSpan,
     /// Shortest life for which a lot is given.
     pub lot_span_floor: TimeSpan,
@@ -118,6 +118,18 @@
         TimeSpan::from_micros(interval.saturating_mul(self.loan_intervals))
     }
 
+    /// Returns the life of a lot in a data centre of `members` VMs.
+    ///
+    /// It is shorter than what a part loan that is renewed in time has left,
+    /// so that the loans that back a lot outlive it.
+    #[must_use]
+    pub fn lot_span(&self, members: usize) -> TimeSpan {
+        let interval = self.poll_interval(members);
+        let renewed = interval.fraction(self.loan_intervals.saturating_sub(1), 1);
+        let sure = renewed.saturating_sub(interval.fraction(1, 10));
+        sure.min(self.lot_span)
+    }
+
     /// Returns the time for which any grant may outlive a stopped VM.
     ///
     /// The roster's hold-off before the parts of a VM move must be longer.
--- a/crates/clementinepond_decide/src/limit/state.rs
+++ b/crates/clementinepond_decide/src/limit/state.rs
@@ -162,12 +162,38 @@
         self.rights.is_usable
     }
 
+    /// Returns the life of a lot.
+    pub(super) fn lot_span(&self) -> TimeSpan {
+        let members = self.rights.members().map_or(1, MemberList::len);
+        self.settings.lot_span(members)
+    }
+
     /// Returns the interval between polls.
     pub(super) fn poll_interval(&self) -> TimeSpan {
         let members = self.rights.members().map_or(1, MemberList::len);
         self.settings.poll_interval(members)
     }
 
+    /// Returns how long a lot of `amount` would last, if it can be given.
+    ///
+    /// The borrower counts on the whole channel until the channel's deadline,
+    /// so that the loans that back the lot have to last as long.
+    pub(super) fn lot_deadline(
+        &self,
+        id: &AccountId,
+        channel: &(VmId, ChannelId),
+        amount: TokenCount,
+        now: LocalTime,
+    ) -> Option<LocalTime> {
+        let account = self.accounts.get(id)?;
+        let promised = account.lent.get(channel)?.deadline;
+        let committed = account.bucket.lent() + account.bucket.held() + amount;
+        let settings = &self.settings;
+        let assured = self.rights.assured_until(id, account, committed, settings);
+        let needed = promised.max(now + settings.lot_span_floor);
+        (assured >= needed).then(|| assured.min(now + self.lot_span()))
+    }
+
     /// Settles every account that `choose` picks and gives it its slice.
     pub(super) fn resize_where(&mut self, now: LocalTime, choose: impl Fn(&AccountState) -> bool) {
         for (id, account) in &mut self.accounts {
