--- a/crates/clementinepond_decide/src/limit/lot_exchange.rs
+++ b/crates/clementinepond_decide/src/limit/lot_exchange.rs
@@ -27,14 +27,16 @@
     let key = (from.clone(), report.channel);
     let is_home = state.rights.home(account) == Some(&state.rights.vm);
     let is_ordering = is_home && !report.items.is_empty();
-    let asks = !state.releasing && (is_ordering || report.want > TokenCount::ZERO);
-    if !account.lent.contains_key(&key) && !asks {
+    let is_unknown = report.granted > TokenCount::ZERO
+        && !account.lent.contains_key(&(from.clone(), report.channel));
+    let asks = !state.releasing && !is_unknown && (is_ordering || report.want > TokenCount::ZERO);
+    if !account.lent.contains_key(&key) && !asks && !is_unknown {
         return;
     }
     let lent = account
         .lent
         .entry(key)
-        .or_insert_with(|| LentChannel::new(now + state.settings.lot_span));
+        .or_insert_with(|| LentChannel::new(now, now + state.settings.lot_span));
     let back = lent.credit(
         report.returned_capacity,
         report.returned_level,
@@ -53,7 +55,7 @@
     if is_newer && asks {
         spare_wanted(state, from, &report, now);
     }
-    if asks || is_lasting {
+    if asks || is_lasting || is_unknown {
         outbox.grant(from, &id, report.channel);
     }
     serve::serve(state, &id, now, outbox);
@@ -121,19 +123,16 @@
     if amount == TokenCount::ZERO {
         return;
     }
-    let committed = account.bucket.lent() + account.bucket.held() + amount;
-    let assured = state
-        .rights
-        .assured_until(&report.account, account, committed, &state.settings);
-    if assured <= now + state.settings.lot_span_floor {
+    let key = (from.clone(), report.channel);
+    let Some(deadline) = state.lot_deadline(&report.account, &key, amount, now) else {
         return;
-    }
+    };
     let with_capacity = !state.settings.has(LimitMutation::LendWithoutCapacity);
     let Some(account) = state.accounts.get_mut(&report.account) else {
         return;
     };
-    if let Some(lent) = account.lent.get_mut(&(from.clone(), report.channel)) {
-        lent.granted += amount;
+    if let Some(lent) = account.lent.get_mut(&key) {
+        lent.grant(amount, deadline);
         account.bucket.lend(amount, with_capacity);
     }
 }
@@ -157,8 +156,14 @@
     if channel.id != grant.channel {
         return;
     }
-    let added = channel.accept(grant, now, &state.settings);
-    account.bucket.borrow(added);
+    if channel.is_same_lender(grant, &state.settings) {
+        let added = channel.accept(grant, now, &state.settings);
+        account.bucket.borrow(added);
+    } else {
+        let lapsed = channel.outstanding();
+        account.borrowed.remove(from);
+        account.bucket.give_up(lapsed, TokenCount::ZERO);
+    }
     if let Some(answer) = account.round.answers.get_mut(from) {
         answer.hint = Some(grant.hint);
     }
--- a/crates/clementinepond_decide/src/limit/state.rs
+++ b/crates/clementinepond_decide/src/limit/state.rs
@@ -3,10 +3,11 @@
 use super::account::AccountState;
 use super::event::TicketId;
 use super::home::MemberList;
+use super::loan;
 use super::message::{ChannelId, LoanStep};
 use super::peer::PeerTable;
 use super::reservation::TicketState;
-use super::settings::{LimitMutation, LimitSettings};
+use super::settings::LimitSettings;
 use super::slice::PartRights;
 use clementinepond_types::{
     AccountId, Epoch, LocalTime, ObjectVersion, TimeSpan, TokenCount, TokenRate, VmId,
@@ -124,10 +125,12 @@
         }
     }
 
-    /// Returns what an account has on this VM, as of the last event.
+    /// Returns what an account has on this VM at `now`.
     #[must_use]
-    pub fn account_status(&self, account: &AccountId) -> Option<AccountStatus> {
-        let account = self.accounts.get(account)?;
+    pub fn account_status(&mut self, account: &AccountId, now: LocalTime) -> Option<AccountStatus> {
+        loan::lapse(self, now);
+        let account = self.accounts.get_mut(account)?;
+        account.settle(now, &self.settings);
         let bucket = &account.bucket;
         Some(AccountStatus {
             level: bucket.level(),
@@ -162,7 +165,13 @@
 
     /// Returns whether this VM may use and lend its parts.
     pub(super) fn is_started(&self) -> bool {
-        self.start_wait == StartWait::Over || self.settings.has(LimitMutation::SkipStartWait)
+        self.rights.is_usable
+    }
+
+    /// Returns the life of a lot.
+    pub(super) fn lot_span(&self) -> TimeSpan {
+        let members = self.rights.members().map_or(1, MemberList::len);
+        self.settings.lot_span(members)
     }
 
     /// Returns the interval between polls.
@@ -171,6 +180,26 @@
         self.settings.poll_interval(members)
     }
 
+    /// Returns how long a lot of `amount` would last, if it can be given.
+    ///
+    /// The borrower counts on the whole channel until the channel's deadline,
+    /// so that the loans that back the lot have to last as long.
+    pub(super) fn lot_deadline(
+        &self,
+        id: &AccountId,
+        channel: &(VmId, ChannelId),
+        amount: TokenCount,
+        now: LocalTime,
+    ) -> Option<LocalTime> {
+        let account = self.accounts.get(id)?;
+        let promised = account.lent.get(channel)?.deadline;
+        let committed = account.bucket.lent() + account.bucket.held() + amount;
+        let settings = &self.settings;
+        let assured = self.rights.assured_until(id, account, committed, settings);
+        let needed = promised.max(now + settings.lot_span_floor);
+        (assured >= needed).then(|| assured.min(now + self.lot_span()))
+    }
+
     /// Settles every account that `choose` picks and gives it its slice.
     pub(super) fn resize_where(&mut self, now: LocalTime, choose: impl Fn(&AccountState) -> bool) {
         for (id, account) in &mut self.accounts {
--- a/crates/clementinepond_measure/src/experiment/limits/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/limits/mod.rs
@@ -4,6 +4,7 @@
 //! loses, repeats and reorders messages and that is cut. Every run is checked
 //! against the exact bound over all windows, beside an equal static split.
 
+mod audit;
 mod central;
 mod client;
 mod fault;
@@ -19,7 +20,7 @@
 mod stream;
 mod wire;
 
-pub use fleet::{FleetSimulation, SETTLE_TIME};
+pub use fleet::FleetSimulation;
 pub use ledger::{LimitChange, SpendLedger};
 pub use network::NetworkPlan;
 pub use outcome::{AccountOutcome, FleetOutcome};
