--- a/crates/clementinepond_decide/src/roster/reduce.rs
+++ b/crates/clementinepond_decide/src/roster/reduce.rs
@@ -94,8 +94,9 @@
     let is_changed = before.is_none_or(|before| before.parts != parts || before.share != share);
     let is_later = before.is_some_and(|before| {
         before.epoch != epoch
-            || before.deadline + state.settings.heartbeat_period <= deadline
             || deadline < before.deadline
+            || before.deadline + state.settings.heartbeat_period <= deadline
+                && before.deadline != deadline
     });
     if !is_changed && !is_later {
         return;
--- a/crates/clementinepond_measure/src/experiment/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/mod.rs
@@ -1,5 +1,8 @@
 //! The list of experiments.
 
+pub mod config;
+pub mod roster;
+
 use crate::ExperimentReport;
 
 /// One experiment that can be run by name.
@@ -14,7 +17,18 @@
 }
 
 /// Every experiment, in the order of `measure list`.
-pub const EXPERIMENTS: &[ExperimentEntry] = &[];
+pub const EXPERIMENTS: &[ExperimentEntry] = &[
+    ExperimentEntry {
+        name: "roster",
+        about: "membership under faults: parts in use, time until they are back, platform calls, bytes",
+        run: roster::run,
+    },
+    ExperimentEntry {
+        name: "config",
+        about: "changes and withdrawn keys on their way to every VM, with a relay lost and cuts",
+        run: config::run,
+    },
+];
 
 /// Finds an experiment by name.
 #[must_use]
--- /dev/null
+++ b/crates/clementinepond_measure/src/experiment/roster/mod.rs
@@ -0,0 +1,189 @@
+//! Membership under faults, and what it costs as the fleet grows.
+
+mod baseline;
+mod chaos;
+mod ledger;
+mod platform;
+mod process;
+mod service;
+mod traffic;
+mod view;
+mod world;
+
+use crate::{ExperimentReport, MeasureTable, TargetResult};
+use baseline::run_baseline;
+use chaos::ChaosSchedule;
+use clementinepond_decide::roster::{RosterMutation, WHOLE_PARTS};
+use traffic::ratio;
+
+pub(crate) use world::{MILLISECOND, SECOND, World, WorldPlan};
+
+/// Bytes that one VM may send and receive for control a second.
+const TRAFFIC_BOUND: f64 = 12_000.0;
+/// Data centres and VMs of the fleets whose platform calls are compared.
+const FLEETS: [(usize, usize); 3] = [(4, 8), (4, 64), (4, 390)];
+/// Mean time between two faults of the safety runs, in seconds.
+const FAULT_GAP: u64 = 12;
+
+/// Lengths of the runs of one experiment.
+#[derive(Debug, Clone, Copy)]
+pub struct RosterLengths {
+    /// VMs and length of each run with faults, in seconds.
+    pub chaos: &'static [(usize, u64)],
+    /// Length of the runs without faults, in seconds.
+    pub steady: u64,
+    /// Largest fleet among the runs without faults.
+    pub largest: usize,
+}
+
+/// Lengths of a full run.
+const FULL: RosterLengths = RosterLengths {
+    chaos: &[(8, 6_000), (24, 3_000), (64, 1_200)],
+    steady: 120,
+    largest: 390,
+};
+
+/// Runs the experiment.
+#[must_use]
+pub fn run(seed: u64) -> ExperimentReport {
+    run_with(seed, FULL, RosterMutation::None)
+}
+
+/// Runs the experiment with other lengths, and with one guard off.
+#[must_use]
+pub fn run_with(seed: u64, lengths: RosterLengths, mutation: RosterMutation) -> ExperimentReport {
+    let mut report = ExperimentReport::new("roster", seed);
+    let mut current = MeasureTable::new();
+    for &(vms, length) in lengths.chaos {
+        let mut plan = WorldPlan::quiet(seed ^ vms as u64, 3, vms).with_chances();
+        plan.roster.mutation = mutation;
+        run_chaos(plan, length, &mut report, &mut current);
+    }
+    let mut baseline = MeasureTable::new();
+    for (centres, vms) in FLEETS {
+        if vms <= lengths.largest {
+            run_steady(
+                seed,
+                (centres, vms),
+                lengths.steady,
+                &mut current,
+                &mut report,
+            );
+            run_baseline(seed, vms, lengths.steady, &mut baseline);
+        }
+    }
+    report.policies.insert("baseline", baseline);
+    report.policies.insert("current", current);
+    report
+}
+
+/// Runs a fleet with faults and counts breaches.
+fn run_chaos(
+    plan: WorldPlan,
+    length: u64,
+    report: &mut ExperimentReport,
+    current: &mut MeasureTable,
+) {
+    let vms = plan.vms;
+    let mut world = World::new(plan);
+    let mut chaos = ChaosSchedule::new(FAULT_GAP * SECOND, 60 * SECOND);
+    let mut used = 0;
+    let mut samples = 0;
+    for second in 1..=length {
+        chaos.run(&mut world, second * SECOND);
+        for centre in 0..world.targets.len() {
+            used += u64::from(world.ledger.parts_in_use(centre, world.now));
+            samples += 1;
+        }
+    }
+    let ledger = &world.ledger;
+    add(report, "parts_over_whole", ledger.over_whole);
+    add(report, "parts_beyond_table", ledger.beyond_table);
+    add(report, "shares_over_whole", ledger.over_fleet);
+    let mean = ratio(used, samples * u64::from(WHOLE_PARTS));
+    current.insert(name("parts_in_use", vms), mean);
+    current.insert(name("faults", vms), chaos.faults as f64);
+    let mut times = world.recover_times.clone();
+    times.sort_unstable();
+    let largest = times.last().copied().unwrap_or(0);
+    let middle = times.get(times.len() / 2).copied().unwrap_or(0);
+    current.insert(name("parts_back_median_s", vms), ratio(middle, SECOND));
+    current.insert(name("parts_back_largest_s", vms), ratio(largest, SECOND));
+    let leaves = world.leave_times.iter().copied().max().unwrap_or(0);
+    current.insert(name("leave_largest_s", vms), ratio(leaves, SECOND));
+}
+
+fn add(report: &mut ExperimentReport, breach: &'static str, count: u64) {
+    *report.violations.entry(breach).or_default() += count;
+}
+
+/// Runs a fleet without faults and measures calls and bytes.
+fn run_steady(
+    seed: u64,
+    (centres, vms): (usize, usize),
+    length: u64,
+    current: &mut MeasureTable,
+    report: &mut ExperimentReport,
+) {
+    let mut plan = WorldPlan::quiet(seed, centres, vms);
+    plan.tick = 500 * MILLISECOND;
+    let mut world = World::new(plan);
+    world.run_until(90 * SECOND);
+    let begin_calls = world.platform.calls;
+    current.insert(name("start_calls", vms), begin_calls as f64);
+    world.traffic.clear();
+    world.run_until((90 + length) * SECOND);
+    let calls = ratio(world.platform.calls - begin_calls, length);
+    current.insert(name("platform_calls_per_s", vms), calls);
+    let (mean, largest) = world.traffic.mean_and_largest();
+    let seconds = length as f64;
+    current.insert(name("bytes_per_vm_s_mean", vms), mean / seconds);
+    current.insert(name("bytes_per_vm_s_largest", vms), largest / seconds);
+    if vms == 390 {
+        let eight = current
+            .get("platform_calls_per_s_8")
+            .copied()
+            .unwrap_or(0.0);
+        let growth = TargetResult::at_most(
+            "platform calls a second, 390 VMs beside 8",
+            eight * 1.05,
+            calls,
+        );
+        let bytes = TargetResult::at_most(
+            "bytes a second of the busiest VM at 390",
+            TRAFFIC_BOUND,
+            largest / seconds,
+        );
+        report.targets.extend([growth, bytes]);
+    }
+}
+
+/// Returns the name of a measure at a fleet size.
+fn name(measure: &'static str, vms: usize) -> &'static str {
+    NAMES
+        .iter()
+        .find(|(found, size, _)| *found == measure && *size == vms)
+        .map_or(measure, |(_, _, name)| name)
+}
+
+macro_rules! names {
+    ($($measure:literal: $($size:literal),+);+ $(;)?) => {
+        /// Names of measures at each fleet size.
+        const NAMES: &[(&str, usize, &str)] = &[
+            $($(($measure, $size, concat!($measure, "_", $size))),+),+
+        ];
+    };
+}
+
+names! {
+    "parts_in_use": 8, 24, 64;
+    "faults": 8, 24, 64;
+    "parts_back_median_s": 8, 24, 64;
+    "parts_back_largest_s": 8, 24, 64;
+    "leave_largest_s": 8, 24, 64;
+    "start_calls": 8, 64, 390;
+    "platform_calls_per_s": 8, 64, 390;
+    "bytes_per_vm_s_mean": 8, 64, 390;
+    "bytes_per_vm_s_largest": 8, 64, 390;
+    "over_whole_s": 8, 64, 390;
+}
--- /dev/null
+++ b/crates/clementinepond_measure/src/experiment/roster/view.rs
@@ -0,0 +1,51 @@
+//! What an observer sees of a world.
+
+use super::process::VmProcess;
+use super::world::World;
+use clementinepond_decide::configuration::WithdrawalRecord;
+use clementinepond_types::{KeyDigest, ObjectVersion};
+
+impl World {
+    fn running(&self) -> impl Iterator<Item = &VmProcess> {
+        self.processes.iter().flatten()
+    }
+
+    /// Returns the slot of a data centre's relay.
+    pub(crate) fn relay_of(&self, data_centre: usize) -> Option<usize> {
+        self.processes.iter().position(|place| {
+            place.as_ref().is_some_and(|process| {
+                process.data_centre == data_centre && process.roster.is_relay()
+            })
+        })
+    }
+
+    /// Counts the VMs of some data centres that have an older version in force.
+    pub(crate) fn lacking(
+        &self,
+        version: ObjectVersion,
+        is_counted: &impl Fn(usize) -> bool,
+    ) -> usize {
+        self.running()
+            .filter(|process| is_counted(process.data_centre))
+            .filter(|process| process.configuration.in_force() < Some(version))
+            .count()
+    }
+
+    /// Counts the VMs that accept a key.
+    pub(crate) fn accepting(&self, key: &KeyDigest) -> u64 {
+        let accepting = self.running().filter(|process| process.accepts(key));
+        accepting.count() as u64
+    }
+
+    /// Counts how often an older version came into force.
+    pub(crate) fn reverts(&self) -> u64 {
+        self.running().map(|process| process.reverts).sum()
+    }
+
+    /// Returns whether the platform's record holds a withdrawn key.
+    pub(crate) fn is_recorded(&self, key: &KeyDigest) -> bool {
+        self.platform
+            .get::<WithdrawalRecord>("fleet")
+            .is_some_and(|object| object.value.keys.contains(key))
+    }
+}
