--- a/crates/clementinepond_decide/src/configuration/watch.rs
+++ b/crates/clementinepond_decide/src/configuration/watch.rs
@@ -39,7 +39,7 @@
     now: LocalTime,
     effects: &mut Vec<ConfigurationEffect>,
 ) {
-    if state.booting && state.read.is_due(now) {
+    if state.booting && !state.read_missing && state.read.is_due(now) {
         state.read = CallStage::Waiting {
             lapse: now + state.settings.answer_limit,
         };
@@ -94,9 +94,12 @@
         }
         ReadReply::Missing => {
             state.note_contact(now);
-            now + state.settings.retry_period
+            // The relay's watch brings the first version.
+            state.read_missing = true;
+            now
         }
-        ReadReply::Unavailable => now + state.settings.retry_period,
+        ReadReply::Unavailable if now < state.boot_until => now + state.settings.retry_period,
+        ReadReply::Unavailable => now + state.settings.answer_limit,
     };
     state.read = CallStage::Idle { retry };
 }
--- a/crates/clementinepond_decide/src/roster/heard.rs
+++ b/crates/clementinepond_decide/src/roster/heard.rs
@@ -69,10 +69,8 @@
         keeping: &BTreeSet<VmId>,
         now: LocalTime,
     ) -> HeardList {
-        let ages = table
-            .members
-            .keys()
-            .map(|vm| self.moment(vm).map_or(AGE_UNKNOWN, |at| age_of(at, now)))
+        let ages = paired(table.members.keys(), self.moments.iter())
+            .map(|moment| moment.map_or(AGE_UNKNOWN, |&at| age_of(at, now)))
             .collect();
         let mut bits = vec![0_u8; table.members.len().div_ceil(8)];
         for (index, vm) in table.members.keys().enumerate() {
@@ -97,15 +95,36 @@
         keeping: &mut BTreeSet<VmId>,
         now: LocalTime,
     ) {
-        for (index, vm) in table.members.keys().enumerate() {
-            let age = list.ages.get(index).copied().unwrap_or(AGE_UNKNOWN);
-            if let Some(moment) = moment_of(age, now) {
-                self.note(vm, moment);
+        let mut unheard = Vec::new();
+        let moments = paired(table.members.keys(), self.moments.iter_mut());
+        for ((vm, known), &age) in table.members.keys().zip(moments).zip(&list.ages) {
+            match (moment_of(age, now), known) {
+                (Some(moment), Some(known)) => *known = moment.max(*known),
+                (Some(moment), None) => unheard.push((vm, moment)),
+                (None, _) => {}
             }
+        }
+        for (vm, moment) in unheard {
+            self.note(vm, moment);
+        }
+        for (index, vm) in table.members.keys().enumerate() {
             let byte = list.keeping.get(index / 8).copied().unwrap_or_default();
-            if byte & (1 << (index % 8)) != 0 {
+            if byte & (1 << (index % 8)) != 0 && !keeping.contains(vm) {
                 keeping.insert(vm.clone());
             }
         }
     }
 }
+
+/// Looks sorted names up in sorted entries, in one pass over both.
+fn paired<'a, T>(
+    names: impl Iterator<Item = &'a VmId>,
+    entries: impl Iterator<Item = (&'a VmId, T)>,
+) -> impl Iterator<Item = Option<T>> {
+    let mut entries = entries.peekable();
+    names.map(move |name| {
+        while entries.next_if(|(found, _)| *found < name).is_some() {}
+        let entry = entries.next_if(|(found, _)| *found == name);
+        entry.map(|(_, value)| value)
+    })
+}
