--- a/crates/clementinepond_decide/src/crash/arbiter.rs
+++ b/crates/clementinepond_decide/src/crash/arbiter.rs
@@ -16,6 +16,7 @@
 struct PermitEntry {
     fingerprint: RequestFingerprint,
     endpoint: EndpointId,
+    is_likely: bool,
     expiry: LocalTime,
 }
 
@@ -43,12 +44,19 @@
             .map(|permit| permit.endpoint.clone())
     }
 
-    /// Chooses a free endpoint for a suspect, sound ones first.
+    /// Chooses the free endpoint that crashed least by itself.
+    ///
+    /// A likely culprit runs there without other suspects; less likely ones may
+    /// share it.
+    ///
+    /// An endpoint that crashed much more often than another candidate is not
+    /// used, since its next crash would be held against the suspect.
     pub(crate) fn choose(
         &self,
         fingerprint: RequestFingerprint,
         candidates: &[EndpointId],
-        is_flaky: impl Fn(&EndpointId) -> bool,
+        is_likely: bool,
+        crashes: impl Fn(&EndpointId) -> usize,
         settings: &CrashSettings,
     ) -> Option<EndpointId> {
         let copies = self
@@ -58,19 +66,22 @@
         if copies && settings.mutation != CrashMutation::RunCopies {
             return None;
         }
+        let fewest = candidates.iter().map(&crashes).min()?;
         let is_taken = |endpoint: &EndpointId| {
-            self.permits
-                .values()
-                .any(|permit| permit.endpoint == *endpoint)
+            let here = || {
+                self.permits
+                    .values()
+                    .filter(|one| one.endpoint == *endpoint)
+            };
+            let limit = if is_likely { 1 } else { settings.group_limit };
+            here().count() >= limit || here().any(|permit| permit.is_likely)
         };
-        let free = || candidates.iter().filter(|endpoint| !is_taken(endpoint));
-        let sound = free().find(|endpoint| !is_flaky(endpoint));
-        let all_flaky = candidates.iter().all(is_flaky);
-        match sound {
-            Some(endpoint) => Some(endpoint.clone()),
-            None if all_flaky => free().next().cloned(),
-            None => None,
-        }
+        candidates
+            .iter()
+            .filter(|endpoint| !is_taken(endpoint))
+            .filter(|endpoint| crashes(endpoint) < fewest + settings.flaky_limit)
+            .min_by_key(|endpoint| crashes(endpoint))
+            .cloned()
     }
 
     /// Counts a run at an endpoint.
@@ -79,12 +90,14 @@
         owner: RunOwner,
         fingerprint: RequestFingerprint,
         endpoint: EndpointId,
+        is_likely: bool,
         expiry: LocalTime,
     ) {
         self.waiters.remove(&owner);
         let permit = PermitEntry {
             fingerprint,
             endpoint,
+            is_likely,
             expiry,
         };
         self.permits.insert(owner, permit);
--- a/crates/clementinepond_decide/src/crash/effect.rs
+++ b/crates/clementinepond_decide/src/crash/effect.rs
@@ -27,6 +27,8 @@
     Pass {
         /// Number of the run.
         ticket: CrashTicket,
+        /// Endpoints where suspects run; others are better while there are any.
+        avoid: Vec<EndpointId>,
     },
     /// The run may be sent to this endpoint only.
     RunAlone {
--- a/crates/clementinepond_decide/src/crash/guard.rs
+++ b/crates/clementinepond_decide/src/crash/guard.rs
@@ -11,7 +11,7 @@
 use super::state::CrashState;
 use super::suspect::Standing;
 use super::verdict::Verdict;
-use clementinepond_types::{EndpointId, LocalTime};
+use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
 
 /// Largest number of reports in one broadcast.
 const ANNOUNCE_LIMIT: usize = 512;
@@ -28,6 +28,7 @@
     let fingerprint = entry.fingerprint();
     if state.settings.mutation != CrashMutation::KeepCleared {
         clear(state, fingerprint, now);
+        state.soundness.note(fingerprint, &state.settings, now);
     }
     permit::over(state, ticket)
 }
@@ -44,6 +45,7 @@
         fingerprint,
         loss,
         evidence: 0,
+        run_time: TimeSpan::ZERO,
         cleared: true,
     });
     state.news.suspects.extend(reports);
@@ -74,19 +76,45 @@
     let run_time = now.since(run.stage.started_at);
     let evidence = loss_evidence(&state.settings, crashes, run_time);
     let fingerprint = run.fingerprint;
-    let is_news = state
-        .suspects
-        .accuse(fingerprint, loss, evidence, &state.settings, now);
+    let is_news =
+        state
+            .suspects
+            .accuse(fingerprint, loss, evidence, run_time, &state.settings, now);
     if is_news {
         state.news.suspects.push(SuspectReport {
             fingerprint,
             loss: loss.clone(),
             evidence,
+            run_time,
             cleared: false,
         });
+        speak_for(state, fingerprint, loss, now);
     }
 }
 
+/// Clears a request of a loss if it completed lately at this VM.
+fn speak_for(
+    state: &mut CrashState,
+    fingerprint: RequestFingerprint,
+    loss: &EndpointLoss,
+    now: LocalTime,
+) {
+    if !state.soundness.use_up(fingerprint, &state.settings, now) {
+        return;
+    }
+    let cleared = std::slice::from_ref(loss);
+    state
+        .suspects
+        .clear(fingerprint, cleared, &state.settings, now);
+    state.news.suspects.push(SuspectReport {
+        fingerprint,
+        loss: loss.clone(),
+        evidence: 0,
+        run_time: TimeSpan::ZERO,
+        cleared: true,
+    });
+}
+
 /// Takes an endpoint's report.
 pub(crate) fn endpoint_seen(
     state: &mut CrashState,
@@ -265,9 +293,17 @@
             .clear(fingerprint, cleared, &state.settings, now);
     } else {
         let evidence = report.evidence;
-        state
-            .suspects
-            .accuse(fingerprint, loss, evidence, &state.settings, now);
+        let is_news = state.suspects.accuse(
+            fingerprint,
+            loss,
+            evidence,
+            report.run_time,
+            &state.settings,
+            now,
+        );
+        if is_news {
+            speak_for(state, fingerprint, loss, now);
+        }
     }
 }
 
@@ -288,10 +324,13 @@
         .news
         .suspects
         .split_off(state.news.suspects.len().min(ANNOUNCE_LIMIT));
+    let occupied = state.news.occupied_changed.then(|| state.own_occupied());
+    state.news.occupied_changed = false;
     let message = CrashMessage::Announce {
         losses: std::mem::take(&mut state.news.losses),
         suspects: std::mem::replace(&mut state.news.suspects, rest),
         verdicts: std::mem::take(&mut state.news.verdicts),
+        occupied,
     };
     let peers = state.peers().into_iter();
     peers
@@ -306,6 +345,7 @@
 pub(crate) fn sweep(state: &mut CrashState, now: LocalTime) -> Vec<CrashEffect> {
     // Renewed often, so that a lost message frees an endpoint soon.
     let mut effects = permit::report_runs(state);
+    state.news.occupied_changed |= !state.own_occupied().is_empty();
     for loss in state.losses.overdue(&state.settings, now) {
         effects.extend(learn(state, &loss, LossFate::Unreachable, now));
     }
--- a/crates/clementinepond_decide/src/crash/loss.rs
+++ b/crates/clementinepond_decide/src/crash/loss.rs
@@ -1,6 +1,7 @@
 //! Lost endpoint processes and what became of them.
 
 use super::identity::{EndpointIncarnation, EndpointLoss};
+use super::message::LossReport;
 use super::settings::{CrashMutation, CrashSettings};
 use clementinepond_types::{EndpointId, LocalTime};
 use serde::{Deserialize, Serialize};
@@ -35,7 +36,10 @@
     pub(crate) fate: LossFate,
     pub(crate) broken_at: LocalTime,
     pub(crate) judged_at: LocalTime,
-    /// Whether a refused request explains the loss.
+    /// Whether a refused request explains the loss, for the endpoint's record.
+    ///
+    /// The other requests that were there stay suspects until they complete,
+    /// since the refused one need not be the culprit.
     pub(crate) explained: bool,
 }
 
@@ -111,6 +115,18 @@
         self.entries.get(loss)
     }
 
+    /// Returns what is known of losses, for another VM.
+    pub(crate) fn reports(&self, losses: &[EndpointLoss]) -> Vec<LossReport> {
+        let known = losses.iter().filter_map(|loss| {
+            let entry = self.entries.get(loss)?;
+            Some(LossReport {
+                loss: loss.clone(),
+                fate: entry.fate,
+            })
+        });
+        known.collect()
+    }
+
     pub(crate) fn explain(&mut self, loss: &EndpointLoss) {
         if let Some(entry) = self.entries.get_mut(loss) {
             entry.explained = true;
--- a/crates/clementinepond_decide/src/crash/message.rs
+++ b/crates/clementinepond_decide/src/crash/message.rs
@@ -24,6 +24,8 @@
     pub loss: EndpointLoss,
     /// Weight of the loss, in thousandths of a bit.
     pub evidence: u64,
+    /// Time for which the request had run.
+    pub run_time: TimeSpan,
     /// Whether the request completed a run afterwards.
     pub cleared: bool,
 }
@@ -50,6 +52,8 @@
         suspects: Vec<SuspectReport>,
         /// Verdicts.
         verdicts: Vec<Verdict>,
+        /// Endpoints where the sender runs suspects; `None` is no news.
+        occupied: Option<Vec<EndpointId>>,
     },
     /// Asks the arbiter for a permit.
     AskPermit {
@@ -59,6 +63,10 @@
         fingerprint: RequestFingerprint,
         /// Endpoints that can run it, best first.
         candidates: Vec<EndpointId>,
+        /// Losses that the sender holds against it.
+        suspects: Vec<SuspectReport>,
+        /// What the sender knows of them.
+        losses: Vec<LossReport>,
         /// Time left until the run is given up.
         time_left: TimeSpan,
     },
--- a/crates/clementinepond_decide/src/crash/mod.rs
+++ b/crates/clementinepond_decide/src/crash/mod.rs
@@ -25,6 +25,7 @@
 mod reduce;
 mod run;
 mod settings;
+mod soundness;
 mod state;
 mod suspect;
 mod verdict;
--- a/crates/clementinepond_decide/src/crash/permit.rs
+++ b/crates/clementinepond_decide/src/crash/permit.rs
@@ -33,7 +33,8 @@
         return effects;
     }
     if standing(state, fingerprint) == Standing::Sound || !state.settings.separate {
-        effects.push(CrashEffect::Pass { ticket });
+        let avoid = state.all_occupied(now);
+        effects.push(CrashEffect::Pass { ticket, avoid });
         return effects;
     }
     let stage = Waiting {
@@ -77,6 +78,10 @@
         ticket,
         fingerprint,
         candidates: run.stage.candidates.clone(),
+        suspects: state.suspects.reports(fingerprint),
+        losses: state
+            .losses
+            .reports(&state.suspects.open_losses(fingerprint)),
         time_left: now.until(run.stage.deadline),
     };
     let alone = now >= run.stage.patience;
@@ -134,24 +139,37 @@
         Standing::Suspect => {}
     }
     let (losses, settings) = (&state.losses, &state.settings);
-    let is_flaky = |endpoint: &EndpointId| losses.own_crashes(endpoint) >= settings.flaky_limit;
+    let crashes = |endpoint: &EndpointId| losses.own_crashes(endpoint);
+    let is_likely = state.suspects.is_likely(fingerprint, losses, settings);
     let chosen = state
         .permits
-        .choose(fingerprint, candidates, is_flaky, settings);
+        .choose(fingerprint, candidates, is_likely, crashes, settings);
     let Some(endpoint) = chosen else {
         return PermitReply::Wait;
     };
     let expiry = now + settings.permit_limit;
-    state
-        .permits
-        .occupy(owner.clone(), fingerprint, endpoint.clone(), expiry);
+    state.permits.occupy(
+        owner.clone(),
+        fingerprint,
+        endpoint.clone(),
+        is_likely,
+        expiry,
+    );
     PermitReply::Run(endpoint)
 }
 
 /// Gives permits to runs that waited.
 pub(crate) fn serve_waiters(state: &mut CrashState, now: LocalTime) -> Vec<CrashEffect> {
     let mut effects = Vec::new();
-    for (owner, waiter) in state.permits.waiting() {
+    let mut waiting = state.permits.waiting();
+    // The sooner the culprit is found, the sooner the others go on.
+    waiting.sort_by_key(|(_, waiter)| {
+        let fingerprint = waiter.fingerprint;
+        !state
+            .suspects
+            .is_likely(fingerprint, &state.losses, &state.settings)
+    });
+    for (owner, waiter) in waiting {
         let reply = decide(state, &owner, waiter.fingerprint, &waiter.candidates, now);
         if reply != PermitReply::Wait {
             state.permits.stop_waiting(&owner);
@@ -191,19 +209,28 @@
         }
         PermitReply::Sound if standing(state, fingerprint) == Standing::Sound => {
             state.runs.remove(&ticket);
-            vec![CrashEffect::Pass { ticket }]
+            let avoid = state.all_occupied(now);
+            vec![CrashEffect::Pass { ticket, avoid }]
         }
         // This VM knows more; the arbiter learns it by broadcast.
         PermitReply::Sound => Vec::new(),
         PermitReply::Run(endpoint) => {
-            if state.verdicts.is_refused(fingerprint, now) {
-                return advance(state, ticket, now);
+            let undecided = standing(state, fingerprint) == Standing::Undecided;
+            if undecided || state.verdicts.is_refused(fingerprint, now) {
+                // The arbiter did not know of the latest loss yet.
+                let mut effects = vec![CrashEffect::Send {
+                    to: from,
+                    message: CrashMessage::RunOver { ticket },
+                }];
+                effects.extend(advance(state, ticket, now));
+                return effects;
             }
             let stage = Permitted {
                 endpoint: endpoint.clone(),
             };
             let run = RequestRun { fingerprint, stage };
             state.runs.insert(ticket, RunEntry::Permitted(run));
+            state.news.occupied_changed = true;
             vec![CrashEffect::RunAlone { ticket, endpoint }]
         }
     }
@@ -252,6 +279,7 @@
             continue;
         }
         run.stage.announced = true;
+        state.news.occupied_changed = true;
         effects.push(running_message(&to, *ticket, run));
     }
     effects
@@ -303,7 +331,12 @@
 ) -> Vec<CrashEffect> {
     let owner = RunOwner { vm: from, ticket };
     let expiry = now + state.settings.permit_limit;
-    state.permits.occupy(owner, fingerprint, endpoint, expiry);
+    let is_likely = state
+        .suspects
+        .is_likely(fingerprint, &state.losses, &state.settings);
+    state
+        .permits
+        .occupy(owner, fingerprint, endpoint, is_likely, expiry);
     Vec::new()
 }
 
@@ -328,6 +361,7 @@
     if !counted {
         return Vec::new();
     }
+    state.news.occupied_changed = true;
     let message = CrashMessage::RunOver { ticket };
     let arbiter = state.arbiter();
     let mut effects = Vec::new();
--- a/crates/clementinepond_decide/src/crash/reduce.rs
+++ b/crates/clementinepond_decide/src/crash/reduce.rs
@@ -77,13 +77,34 @@
             losses,
             suspects,
             verdicts,
-        } => guard::announced(state, losses, suspects, verdicts, now),
+            occupied,
+        } => {
+            if let Some(endpoints) = occupied {
+                let until = now + state.settings.permit_limit;
+                state.occupied.insert(from, (endpoints, until));
+            }
+            guard::announced(state, losses, suspects, verdicts, now)
+        }
         CrashMessage::AskPermit {
             ticket,
             fingerprint,
             candidates,
+            suspects,
+            losses,
             time_left,
-        } => permit::permit_asked(state, from, ticket, fingerprint, candidates, time_left, now),
+        } => {
+            let mut effects = guard::announced(state, losses, suspects, Vec::new(), now);
+            effects.extend(permit::permit_asked(
+                state,
+                from,
+                ticket,
+                fingerprint,
+                candidates,
+                time_left,
+                now,
+            ));
+            effects
+        }
         CrashMessage::Permit { ticket, reply } => {
             permit::permit_replied(state, from, ticket, reply, now)
         }
--- a/crates/clementinepond_decide/src/crash/settings.rs
+++ b/crates/clementinepond_decide/src/crash/settings.rs
@@ -50,8 +50,12 @@
     pub crash_interval: TimeSpan,
     /// Time over which an endpoint's crashes are counted.
     pub crash_window: TimeSpan,
-    /// Crashes within the window after which suspects avoid an endpoint.
+    /// Crashes beyond those of the soundest candidate that bar an endpoint.
     pub flaky_limit: usize,
+    /// Run time at a loss beyond which a request is a less likely culprit.
+    pub fresh_limit: TimeSpan,
+    /// Less likely culprits that may run on one endpoint together.
+    pub group_limit: usize,
     /// Time for which a suspect is remembered.
     pub suspect_lifetime: TimeSpan,
     /// Time for which a verdict stands.
@@ -60,6 +64,10 @@
     pub pending_limit: TimeSpan,
     /// Time for which a permit stands without renewal.
     pub permit_limit: TimeSpan,
+    /// Time for which a completed run speaks for its request.
+    pub sound_lifetime: TimeSpan,
+    /// Most completed requests that are remembered.
+    pub sound_limit: usize,
     /// Wait for the arbiter before a VM decides alone.
     pub arbiter_wait: TimeSpan,
     /// Time between repeats of a request for a permit.
@@ -87,10 +95,14 @@
             crash_interval: TimeSpan::from_secs(21_600),
             crash_window: TimeSpan::from_secs(3_600),
             flaky_limit: 2,
+            fresh_limit: TimeSpan::from_secs(1),
+            group_limit: 4,
             suspect_lifetime: TimeSpan::from_secs(1_800),
             verdict_lifetime: TimeSpan::from_secs(86_400),
             pending_limit: TimeSpan::from_secs(10),
             permit_limit: TimeSpan::from_secs(5),
+            sound_lifetime: TimeSpan::from_secs(600),
+            sound_limit: 8_192,
             arbiter_wait: TimeSpan::from_millis(500),
             resend_interval: TimeSpan::from_millis(200),
             announce_gap: TimeSpan::from_millis(10),
--- a/crates/clementinepond_decide/src/crash/state.rs
+++ b/crates/clementinepond_decide/src/crash/state.rs
@@ -6,10 +6,11 @@
 use super::message::{LossReport, SuspectReport};
 use super::run::RunEntry;
 use super::settings::{CrashSettings, CrashSharing};
+use super::soundness::SoundnessTable;
 use super::suspect::SuspectTable;
 use super::verdict::{Verdict, VerdictTable, VerdictView};
-use clementinepond_types::{DataCentreId, Epoch, LocalTime, ObjectVersion, VmId};
-use std::collections::BTreeMap;
+use clementinepond_types::{DataCentreId, EndpointId, Epoch, LocalTime, ObjectVersion, VmId};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Name that selects the arbiter among the VMs.
 const ARBITER_SEED: &str = "crash-arbiter";
@@ -20,12 +21,17 @@
     pub(crate) losses: Vec<LossReport>,
     pub(crate) suspects: Vec<SuspectReport>,
     pub(crate) verdicts: Vec<Verdict>,
+    /// Whether the endpoints where this VM runs suspects changed.
+    pub(crate) occupied_changed: bool,
     pub(crate) next_send: LocalTime,
 }
 
 impl NewsQueue {
     pub(crate) fn is_empty(&self) -> bool {
-        self.losses.is_empty() && self.suspects.is_empty() && self.verdicts.is_empty()
+        self.losses.is_empty()
+            && self.suspects.is_empty()
+            && self.verdicts.is_empty()
+            && !self.occupied_changed
     }
 }
 
@@ -65,6 +71,9 @@
     pub(crate) suspects: SuspectTable,
     pub(crate) verdicts: VerdictTable,
     pub(crate) permits: PermitTable,
+    pub(crate) soundness: SoundnessTable,
+    /// Endpoints where other VMs run suspects, and until when that is sure.
+    pub(crate) occupied: BTreeMap<VmId, (Vec<EndpointId>, LocalTime)>,
     pub(crate) news: NewsQueue,
     pub(crate) store: VerdictStore,
     /// Moment from which this VM gives permits as the arbiter.
@@ -85,6 +94,8 @@
             suspects: SuspectTable::default(),
             verdicts: VerdictTable::default(),
             permits: PermitTable::default(),
+            soundness: SoundnessTable::default(),
+            occupied: BTreeMap::new(),
             news: NewsQueue::default(),
             store: VerdictStore::default(),
             settled_at: LocalTime::ORIGIN,
@@ -124,6 +135,26 @@
         members.filter(|vm| **vm != self.vm).cloned().collect()
     }
 
+    /// Returns the endpoints where this VM runs suspects.
+    pub(crate) fn own_occupied(&self) -> Vec<EndpointId> {
+        let occupied = self.runs.values().filter_map(|entry| match entry {
+            RunEntry::Permitted(run) => Some(run.stage.endpoint.clone()),
+            RunEntry::InFlight(run) if run.stage.announced => Some(run.stage.loss.endpoint.clone()),
+            RunEntry::Waiting(_) | RunEntry::InFlight(_) => None,
+        });
+        let distinct: BTreeSet<EndpointId> = occupied.collect();
+        distinct.into_iter().collect()
+    }
+
+    /// Returns the endpoints where any VM runs suspects.
+    pub(crate) fn all_occupied(&self, now: LocalTime) -> Vec<EndpointId> {
+        let others = self.occupied.values();
+        let current = others.filter(|(_, until)| now < *until);
+        let mut all: BTreeSet<EndpointId> = self.own_occupied().into_iter().collect();
+        all.extend(current.flat_map(|(endpoints, _)| endpoints.iter().cloned()));
+        all.into_iter().collect()
+    }
+
     /// Returns the VM that gives permits.
     pub(crate) fn arbiter(&self) -> VmId {
         if self.settings.sharing != CrashSharing::Arbiter {
--- a/crates/clementinepond_decide/src/crash/suspect.rs
+++ b/crates/clementinepond_decide/src/crash/suspect.rs
@@ -2,14 +2,17 @@
 
 use super::identity::{EndpointLoss, RequestFingerprint};
 use super::loss::{LossFate, LossTable};
+use super::message::SuspectReport;
 use super::settings::CrashSettings;
-use clementinepond_types::LocalTime;
+use clementinepond_types::{LocalTime, TimeSpan};
 use std::collections::BTreeMap;
 
 /// One loss held against one request.
 #[derive(Debug, Clone)]
 pub(crate) struct SuspectLoss {
     pub(crate) evidence: u64,
+    /// Shortest time for which a run had lasted.
+    pub(crate) run_time: TimeSpan,
     /// Whether the request completed a run afterwards.
     pub(crate) cleared: bool,
 }
@@ -47,6 +50,7 @@
         fingerprint: RequestFingerprint,
         loss: &EndpointLoss,
         evidence: u64,
+        run_time: TimeSpan,
         settings: &CrashSettings,
         now: LocalTime,
     ) -> bool {
@@ -60,9 +64,11 @@
             is_news = true;
             SuspectLoss {
                 evidence,
+                run_time,
                 cleared: false,
             }
         });
+        held.run_time = held.run_time.min(run_time);
         if evidence > held.evidence {
             held.evidence = evidence;
             is_news = true;
@@ -107,6 +113,7 @@
         for loss in losses {
             let held = entry.losses.entry(loss.clone()).or_insert(SuspectLoss {
                 evidence: 0,
+                run_time: TimeSpan::ZERO,
                 cleared: false,
             });
             is_news |= !held.cleared;
@@ -155,6 +162,45 @@
         self.entries.len()
     }
 
+    /// Returns whether a request is a likely culprit.
+    ///
+    /// It is if it had run for a short time at a loss that no refused request
+    /// explains.
+    pub(crate) fn is_likely(
+        &self,
+        fingerprint: RequestFingerprint,
+        losses: &LossTable,
+        settings: &CrashSettings,
+    ) -> bool {
+        let Some(entry) = self.entries.get(&fingerprint) else {
+            return false;
+        };
+        entry.losses.iter().any(|(loss, held)| {
+            let known = losses.get(loss);
+            let is_open =
+                known.is_some_and(|known| known.fate != LossFate::Alive && !known.explained);
+            is_open && !held.cleared && held.run_time < settings.fresh_limit
+        })
+    }
+
+    /// Returns what is held against a request, for another VM.
+    pub(crate) fn reports(&self, fingerprint: RequestFingerprint) -> Vec<SuspectReport> {
+        self.entries
+            .get(&fingerprint)
+            .map_or_else(Vec::new, |entry| {
+                let losses = entry.losses.iter();
+                losses
+                    .map(|(loss, held)| SuspectReport {
+                        fingerprint,
+                        loss: loss.clone(),
+                        evidence: held.evidence,
+                        run_time: held.run_time,
+                        cleared: held.cleared,
+                    })
+                    .collect()
+            })
+    }
+
     /// Judges a request by the losses that are held against it.
     pub(crate) fn standing(
         &self,
@@ -174,7 +220,7 @@
         if tally.pending > 0 && possible >= settings.loss_limit {
             return Standing::Undecided;
         }
-        if tally.unexplained > 0 {
+        if possible > 0 {
             return Standing::Suspect;
         }
         Standing::Sound
@@ -184,7 +230,6 @@
 struct LossTally {
     confirmed: usize,
     pending: usize,
-    unexplained: usize,
     evidence: u64,
 }
 
@@ -192,7 +237,6 @@
     let mut tally = LossTally {
         confirmed: 0,
         pending: 0,
-        unexplained: 0,
         evidence: 0,
     };
     for (loss, held) in entry.losses.iter().filter(|(_, held)| !held.cleared) {
@@ -208,7 +252,6 @@
         } else {
             tally.pending += 1;
         }
-        tally.unexplained += usize::from(!known.explained);
     }
     tally
 }
--- a/crates/clementinepond_measure/src/experiment/crash/world.rs
+++ b/crates/clementinepond_measure/src/experiment/crash/world.rs
@@ -248,7 +248,10 @@
     fn carry_out(&mut self, vm: usize, effect: CrashEffect, at: u64) {
         match effect {
             CrashEffect::Send { to, message } => self.send(vm, &to, message, at),
-            CrashEffect::Pass { ticket } => self.dispatch(vm, ticket, None, at),
+            CrashEffect::Pass { ticket, avoid } => {
+                let place = self.place_outside(vm, ticket, &avoid);
+                self.dispatch(vm, ticket, place, at);
+            }
             CrashEffect::RunAlone { ticket, endpoint } => {
                 let place = self.endpoints.iter().position(|one| one.name == endpoint);
                 self.dispatch(vm, ticket, place, at);
