--- a/crates/clementinepond_decide/src/plan/catalogue.rs
+++ b/crates/clementinepond_decide/src/plan/catalogue.rs
@@ -100,12 +100,24 @@
 }
 
 impl PlacementCatalogue {
-    /// Returns the data centre that must always keep a copy of a model.
+    /// Returns whether one data centre comes before another in keeping a
+    /// model.
     #[must_use]
-    pub fn home(&self, model: &ModelId) -> Option<&DataCentreId> {
+    pub fn precedes(&self, model: &ModelId, first: &DataCentreId, second: &DataCentreId) -> bool {
+        let rank = |data_centre: &DataCentreId| {
+            let weight = rendezvous_weight(model.as_str(), data_centre.as_str());
+            (weight, data_centre.clone())
+        };
+        rank(first) > rank(second)
+    }
+
+    /// Returns how many data centres come before one in keeping a model.
+    #[must_use]
+    pub fn keeper_rank(&self, model: &ModelId, data_centre: &DataCentreId) -> usize {
         self.data_centres
             .iter()
-            .max_by_key(|data_centre| rendezvous_weight(model.as_str(), data_centre.as_str()))
+            .filter(|other| self.precedes(model, other, data_centre))
+            .count()
     }
 }
 
--- a/crates/clementinepond_decide/src/plan/planner/board.rs
+++ b/crates/clementinepond_decide/src/plan/planner/board.rs
@@ -6,6 +6,7 @@
 };
 use crate::plan::{EndpointAction, ExceptionRule, ModelVersion};
 use clementinepond_types::{AdapterId, EndpointId, ModelId};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Thousandths of an accelerator in one.
@@ -229,10 +230,14 @@
         });
     }
 
-    /// Returns the models, the most important first.
+    /// Returns the models, the most important first; among equals, those that
+    /// other data centres leave to this one.
     pub(super) fn by_priority(&self) -> Vec<usize> {
         let mut order: Vec<usize> = (0..self.models.len()).collect();
-        order.sort_by_key(|&index| std::cmp::Reverse(self.models[index].need.priority));
+        order.sort_by_key(|&index| {
+            let need = self.models[index].need;
+            (Reverse(need.priority), need.keeper_rank)
+        });
         order
     }
 }
--- a/crates/clementinepond_decide/src/plan/planner/problem.rs
+++ b/crates/clementinepond_decide/src/plan/planner/problem.rs
@@ -59,6 +59,8 @@
     pub replica_limit: f64,
     /// Copies that must be kept here.
     pub min_copies: u32,
+    /// Data centres that come before this one in keeping the model.
+    pub keeper_rank: usize,
     /// Load to prepare for, in thousandths of an accelerator.
     pub load: f64,
     /// Load that copies are kept for, in thousandths of an accelerator.
--- a/crates/clementinepond_decide/src/plan/view.rs
+++ b/crates/clementinepond_decide/src/plan/view.rs
@@ -123,6 +123,7 @@
         priority: spec.priority,
         replica_limit: replica_limit(spec.replica_limit.milli()),
         min_copies: required_here(state, id),
+        keeper_rank: state.catalogue.keeper_rank(id, &state.data_centre),
         load: forecast.map_or(0.0, |forecast| forecast.expected(tuning)),
         held: forecast.map_or(0.0, |forecast| forecast.held()),
     })
@@ -135,21 +136,28 @@
 
 /// Returns how many copies of a model this data centre must keep.
 ///
-/// Each model has a home data centre, which always keeps a copy. Another one
-/// may go without as long as it can reach the home and the home has a copy
-/// ready; two that relied on each other could both let go.
+/// It may go without a copy as long as it can reach a data centre that has
+/// one ready and comes before it in the model's order. The first of those
+/// that have a copy therefore never lets go of it, whatever the others do.
 pub(super) fn required_here(state: &PlanState, model: &ModelId) -> u32 {
     let Some(spec) = state.catalogue.models.get(model) else {
         return 0;
     };
-    let is_kept_at_home = state.catalogue.home(model).is_some_and(|home| {
-        *home != state.data_centre
-            && state
-                .peers
-                .get(home)
-                .is_some_and(|ready| ready.contains(model))
+    let is_kept_elsewhere = state.peers.iter().any(|(peer, ready)| {
+        ready.contains(model)
+            && (!holds_copy(state, model)
+                || state.catalogue.precedes(model, peer, &state.data_centre))
     });
-    u32::from(spec.resident || !is_kept_at_home)
+    u32::from(spec.resident || !is_kept_elsewhere)
+}
+
+/// Returns whether any endpoint here reports a copy.
+fn holds_copy(state: &PlanState, model: &ModelId) -> bool {
+    state
+        .endpoints
+        .values()
+        .filter_map(|entry| entry.report.as_ref())
+        .any(|report| report.models.iter().any(|held| held.model == *model))
 }
 
 fn endpoint_view(state: &PlanState, entry: &EndpointEntry, now: LocalTime) -> Option<EndpointView> {
--- /dev/null
+++ b/crates/clementinepond_decide/tests/plan_reducer.rs
@@ -0,0 +1,545 @@
+//! The plan reducer, driven by hand: lease, ledger, orders.
+
+#![expect(
+    clippy::unwrap_used,
+    clippy::panic,
+    reason = "helpers of a test fail by panicking"
+)]
+
+use clementinepond_decide::plan::{
+    ComputeLoad, EndpointAction, EndpointReport, EndpointRole, EndpointSpec, HoldingKey,
+    Incarnation, LeasePhase, ModelReport, ModelSpec, ModelState, ModelVersion, OrderIntent,
+    OrderNumber, OrderReply, PlacementCatalogue, PlanEffect, PlanEvent, PlanMutation, PlanObject,
+    PlanSettings, PlanState, ReportNumber, StoreShare, reduce,
+};
+use clementinepond_decide::port::{ReadReply, StoreReply, VersionedObject};
+use clementinepond_types::{
+    DataCentreId, EndpointId, FencingNumber, LocalTime, MemorySize, ModelId, ObjectVersion,
+    PriorityClass, TimeSpan, VmId,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+const SECOND: u64 = 1_000_000;
+
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().unwrap()
+}
+
+fn at(millis: u64) -> LocalTime {
+    LocalTime::from_micros(millis * 1_000)
+}
+
+/// One VM, one endpoint of 100 MiB and models of 60 MiB.
+struct Bench {
+    state: PlanState,
+    version: u64,
+    report_number: u64,
+    incarnation: u64,
+    now: u64,
+    written: Option<PlanObject>,
+}
+
+impl Bench {
+    fn new(mutations: &[PlanMutation], models: &[&str]) -> Self {
+        let settings = PlanSettings {
+            mutations: mutations.iter().copied().collect(),
+            ..PlanSettings::default()
+        };
+        let state = PlanState::new(settings, name("vm-1"), name("dc-1"));
+        let mut bench = Self {
+            state,
+            version: 0,
+            report_number: 0,
+            incarnation: 1,
+            now: 0,
+            written: None,
+        };
+        bench.catalogue(models);
+        bench.send(PlanEvent::EndpointListed {
+            endpoint: name("runner-1"),
+            spec: EndpointSpec {
+                accelerators: 1,
+                checks_fencing: false,
+                role: EndpointRole::Both,
+            },
+        });
+        bench
+    }
+
+    fn catalogue(&mut self, models: &[&str]) {
+        let spec = ModelSpec {
+            version: ModelVersion::from("v1"),
+            memory_mib: MemorySize::new(60),
+            priority: PriorityClass::new(0),
+            replica_limit: ComputeLoad::accelerators(1),
+            resident: true,
+        };
+        let catalogue = PlacementCatalogue {
+            models: models
+                .iter()
+                .map(|model| (name(model), spec.clone()))
+                .collect(),
+            share: StoreShare {
+                loads_an_hour: 3_600,
+                loads_at_once: 4,
+                adapters_at_once: 4,
+            },
+            data_centres: BTreeSet::from([name::<DataCentreId>("dc-1")]),
+            ..PlacementCatalogue::default()
+        };
+        self.send(PlanEvent::CatalogueChanged {
+            catalogue: Box::new(catalogue),
+        });
+    }
+
+    fn send(&mut self, event: PlanEvent) -> Vec<PlanEffect> {
+        let effects = reduce(&mut self.state, event, at(self.now));
+        for effect in &effects {
+            if let PlanEffect::Store { object, .. } = effect {
+                self.written = Some((**object).clone());
+            }
+        }
+        effects
+    }
+
+    fn tick(&mut self, millis: u64) -> Vec<PlanEffect> {
+        self.now += millis;
+        self.send(PlanEvent::Tick { seed: 7 })
+    }
+
+    fn read(&mut self, value: Option<PlanObject>) {
+        let reply = match value {
+            Some(value) => ReadReply::Found(VersionedObject {
+                version: ObjectVersion::new(self.version),
+                value,
+            }),
+            None => ReadReply::Missing,
+        };
+        self.send(PlanEvent::ReadReplied { reply });
+    }
+
+    /// Answers the last write as stored.
+    fn stored(&mut self) -> Vec<PlanEffect> {
+        self.version += 1;
+        let write = self.written.as_ref().unwrap().write_id();
+        let version = ObjectVersion::new(self.version);
+        self.send(PlanEvent::StoreReplied {
+            write,
+            reply: StoreReply::Stored { version },
+        })
+    }
+
+    fn report(&mut self, last_order: OrderNumber, models: &[(&str, ModelState)]) {
+        self.report_number += 1;
+        let report = EndpointReport {
+            endpoint: name("runner-1"),
+            incarnation: Incarnation::new(self.incarnation),
+            report_number: ReportNumber::new(self.report_number),
+            last_order,
+            memory_mib: MemorySize::new(100),
+            used_mib: MemorySize::new(60 * u64::try_from(models.len()).unwrap()),
+            draining: false,
+            fencing_number: FencingNumber::default(),
+            models: models
+                .iter()
+                .map(|(model, state)| ModelReport {
+                    model: name(model),
+                    version: ModelVersion::from("v1"),
+                    state: *state,
+                    memory_mib: MemorySize::new(60),
+                })
+                .collect(),
+            adapters: Vec::new(),
+        };
+        self.send(PlanEvent::ReportReceived { report });
+    }
+
+    fn possible(&self) -> u64 {
+        let endpoint: EndpointId = name("runner-1");
+        self.state.possible_memory(&endpoint).unwrap().get()
+    }
+
+    /// Takes the lease of a platform without a plan object, and proves the
+    /// endpoint's state.
+    fn hold(&mut self) {
+        self.report(OrderNumber::default(), &[]);
+        self.tick(0);
+        self.read(None);
+        self.acquire();
+        self.settle(&[]);
+    }
+
+    fn acquire(&mut self) {
+        while !matches!(self.state.phase(), LeasePhase::Acquiring(_)) {
+            self.tick(100);
+        }
+        self.stored();
+    }
+
+    /// Ticks until the barrier is sent, and reports it as applied.
+    fn settle(&mut self, models: &[(&str, ModelState)]) {
+        let barrier = self.next_order("set_role");
+        self.report(barrier, models);
+    }
+
+    /// Ticks until an order of a kind leaves; writes are answered at once.
+    fn next_order(&mut self, kind: &str) -> OrderNumber {
+        for _ in 0..600 {
+            let mut effects = self.tick(100);
+            if has_store(&effects) {
+                effects.extend(self.stored());
+            }
+            for effect in effects {
+                if let PlanEffect::Order { number, action, .. } = effect
+                    && kind_of(&action) == kind
+                {
+                    return number;
+                }
+            }
+        }
+        panic!("no {kind} order in a minute");
+    }
+}
+
+fn has_store(effects: &[PlanEffect]) -> bool {
+    effects
+        .iter()
+        .any(|effect| matches!(effect, PlanEffect::Store { .. }))
+}
+
+fn loads(effects: &[PlanEffect]) -> usize {
+    effects
+        .iter()
+        .filter(|effect| {
+            matches!(effect, PlanEffect::Order { action, .. } if kind_of(action) == "load_model")
+        })
+        .count()
+}
+
+fn kind_of(action: &EndpointAction) -> &'static str {
+    match action {
+        EndpointAction::LoadModel { .. } => "load_model",
+        EndpointAction::UnloadModel { .. } => "unload_model",
+        EndpointAction::LoadAdapter { .. } => "load_adapter",
+        EndpointAction::UnloadAdapter { .. } => "unload_adapter",
+        EndpointAction::SetRole { .. } => "set_role",
+    }
+}
+
+/// Plan object of another VM with one load that may still take effect.
+fn foreign_object() -> PlanObject {
+    PlanObject {
+        holder: Some(name::<VmId>("vm-2")),
+        nonce: 1,
+        fencing: FencingNumber::new(1),
+        renewals: 5,
+        lease: TimeSpan::from_secs(15),
+        arrival_margin: TimeSpan::from_secs(1),
+        order_span: TimeSpan::from_secs(2),
+        orders: vec![OrderIntent {
+            endpoint: name("runner-1"),
+            number: OrderNumber::first_of(FencingNumber::new(1)).next(),
+            action: EndpointAction::LoadModel {
+                model: name("a"),
+                version: ModelVersion::from("v1"),
+                memory_mib: MemorySize::new(60),
+            },
+            reason: "required".into(),
+        }],
+        goals: Vec::new(),
+    }
+}
+
+#[test]
+fn order_leaves_only_after_its_intent_is_stored() {
+    let sent_before = |mutations: &[PlanMutation]| {
+        let mut bench = Bench::new(mutations, &["a"]);
+        bench.hold();
+        for _ in 0..100 {
+            let effects = bench.tick(100);
+            if loads(&effects) > 0 {
+                return true;
+            }
+            if has_store(&effects) && !bench.written.as_ref().unwrap().orders.is_empty() {
+                assert_eq!(loads(&bench.stored()), 1);
+                return false;
+            }
+            if has_store(&effects) {
+                bench.stored();
+            }
+        }
+        panic!("no load in ten seconds");
+    };
+    assert!(!sent_before(&[]));
+    assert!(sent_before(&[PlanMutation::SendBeforeIntent]));
+}
+
+#[test]
+fn reservation_survives_acknowledgement_and_silence() {
+    let held_after = |mutations: &[PlanMutation]| {
+        let mut bench = Bench::new(mutations, &["a"]);
+        bench.hold();
+        let number = bench.next_order("load_model");
+        let runner: EndpointId = name("runner-1");
+        let is_held = |bench: &Bench| {
+            let ledger = &bench.state.endpoints()[&runner].ledger;
+            ledger.iter().any(|(held, _)| held == number)
+        };
+        bench.send(PlanEvent::OrderReplied {
+            endpoint: name("runner-1"),
+            number,
+            reply: OrderReply::NoMemory,
+        });
+        let after_answer = is_held(&bench);
+        bench.tick(4_000);
+        (after_answer, is_held(&bench))
+    };
+    assert_eq!(held_after(&[]), (true, true));
+    assert!(!held_after(&[PlanMutation::ReleaseOnAck]).0);
+    let without_barrier = held_after(&[PlanMutation::ReleaseWithoutBarrier]);
+    assert_eq!(without_barrier, (true, false));
+}
+
+#[test]
+fn reservation_ends_by_a_report_after_the_barrier() {
+    let mut bench = Bench::new(&[], &["a"]);
+    bench.hold();
+    let number = bench.next_order("load_model");
+    bench.report(number, &[]);
+    assert_eq!(bench.possible(), 60, "the order may still arrive");
+    bench.tick(4_000);
+    bench.report(number, &[]);
+    assert_eq!(
+        bench.possible(),
+        60,
+        "the report may be from before the arrival"
+    );
+    let barrier = bench.next_order("set_role");
+    bench.report(barrier, &[]);
+    assert_eq!(bench.possible(), 0);
+}
+
+#[test]
+fn copy_of_a_finished_order_may_act_after_a_restart() {
+    let possible_after = |mutations: &[PlanMutation]| {
+        let mut bench = Bench::new(mutations, &["a"]);
+        bench.hold();
+        let number = bench.next_order("load_model");
+        bench.report(number, &[("a", ModelState::Ready)]);
+        bench.incarnation = 2;
+        bench.report(OrderNumber::default(), &[]);
+        bench.possible()
+    };
+    assert_eq!(possible_after(&[]), 60);
+    assert_eq!(possible_after(&[PlanMutation::ForgetCopies]), 0);
+}
+
+#[test]
+fn restart_is_doubted_until_a_barrier_proves_it() {
+    let mut bench = Bench::new(&[], &["a"]);
+    bench.hold();
+    bench.incarnation = 2;
+    bench.report(OrderNumber::default(), &[]);
+    let runner: EndpointId = name("runner-1");
+    assert!(!bench.state.endpoints()[&runner].settled);
+    bench.settle(&[]);
+    assert!(bench.state.endpoints()[&runner].settled);
+}
+
+#[test]
+fn old_report_changes_nothing() {
+    let possible_after = |mutations: &[PlanMutation]| {
+        let mut bench = Bench::new(mutations, &["a"]);
+        bench.hold();
+        let number = bench.next_order("load_model");
+        bench.report(number, &[("a", ModelState::Ready)]);
+        bench.tick(4_000);
+        bench.report(number, &[("a", ModelState::Ready)]);
+        bench.report_number -= 2;
+        bench.report(number, &[]);
+        bench.possible()
+    };
+    assert_eq!(possible_after(&[]), 60);
+    assert_eq!(possible_after(&[PlanMutation::AcceptOldReports]), 0);
+}
+
+/// Takes over from another VM while the endpoint's reports lag behind its
+/// last order; returns the possible memory before the first barrier's report.
+fn take_over(mutations: &[PlanMutation]) -> (Bench, u64) {
+    let mut bench = Bench::new(mutations, &["a", "b"]);
+    bench.version = 9;
+    bench.report(OrderNumber::default(), &[]);
+    bench.read(Some(foreign_object()));
+    let seen_at = bench.now;
+    bench.acquire();
+    assert!(bench.now - seen_at >= 15_000, "the lease was not over");
+    (bench, seen_at)
+}
+
+#[test]
+fn takeover_waits_for_the_last_order_of_the_old_holder() {
+    let first_order_after = |mutations: &[PlanMutation]| {
+        let (mut bench, seen_at) = take_over(mutations);
+        bench.next_order("set_role");
+        bench.now - seen_at
+    };
+    // The old holder's lease, and the margin in which its orders arrive.
+    assert!(first_order_after(&[]) > 16_000);
+    assert!(first_order_after(&[PlanMutation::NoWaitOnTakeover]) < 16_000);
+}
+
+#[test]
+fn takeover_needs_the_barrier_or_the_inherited_orders() {
+    let loads_before_barrier = |mutations: &[PlanMutation]| {
+        let (mut bench, _) = take_over(mutations);
+        let mut found = 0;
+        for _ in 0..60 {
+            let mut effects = bench.tick(100);
+            if has_store(&effects) {
+                effects.extend(bench.stored());
+            }
+            bench.report(OrderNumber::default(), &[]);
+            found += loads(&effects);
+        }
+        found
+    };
+    let no_barrier = PlanMutation::NoBarrierOnTakeover;
+    let no_inheritance = PlanMutation::ForgetInheritedOrders;
+    assert_eq!(loads_before_barrier(&[]), 0);
+    assert_eq!(loads_before_barrier(&[no_inheritance]), 0);
+    assert_eq!(loads_before_barrier(&[no_barrier]), 0);
+    assert!(loads_before_barrier(&[no_barrier, no_inheritance]) > 0);
+}
+
+#[test]
+fn lease_counts_from_the_send_of_the_write() {
+    let holds_after_late_answer = |mutations: &[PlanMutation]| {
+        let mut bench = Bench::new(mutations, &["a"]);
+        bench.hold();
+        while !has_store(&bench.tick(100)) {}
+        bench.now += 16_000;
+        bench.stored();
+        bench.state.holds(at(bench.now))
+    };
+    assert!(!holds_after_late_answer(&[]));
+    assert!(holds_after_late_answer(&[PlanMutation::LeaseFromReply]));
+}
+
+#[test]
+fn orders_carry_a_deadline_within_the_lease() {
+    let deadlines = |mutations: &[PlanMutation]| {
+        let mut bench = Bench::new(mutations, &["a"]);
+        bench.hold();
+        let term = bench.state.phase().term().unwrap().clone();
+        // Renewals fail from now on; the last orders end with the lease.
+        let mut found = Vec::new();
+        for _ in 0..200 {
+            for effect in bench.tick(100) {
+                if let PlanEffect::Order { deadline, .. } = effect {
+                    found.push(deadline);
+                }
+            }
+            bench.incarnation += 1;
+            bench.report(OrderNumber::default(), &[]);
+        }
+        (term.deadline, found)
+    };
+    let (end, found) = deadlines(&[]);
+    assert!(!found.is_empty());
+    assert!(found.iter().all(|deadline| *deadline <= end));
+    let (end, found) = deadlines(&[PlanMutation::OrdersWithoutDeadline]);
+    assert!(found.iter().any(|deadline| *deadline > end));
+}
+
+#[test]
+fn lost_answer_is_recognised_by_reading_again() {
+    let mut bench = Bench::new(&[], &["a"]);
+    bench.report(OrderNumber::default(), &[]);
+    bench.tick(0);
+    bench.read(None);
+    while !matches!(bench.state.phase(), LeasePhase::Acquiring(_)) {
+        bench.tick(100);
+    }
+    let sent_at = bench.now;
+    let object = bench.written.clone().unwrap();
+    bench.now += 1_000;
+    let effects = bench.send(PlanEvent::StoreReplied {
+        write: object.write_id(),
+        reply: StoreReply::Unknown,
+    });
+    assert!(matches!(effects[..], [PlanEffect::Read { .. }]));
+    bench.version = 1;
+    bench.read(Some(object));
+    let term = bench.state.phase().term().unwrap();
+    assert!(term.deadline <= at(sent_at) + TimeSpan::from_micros(15 * SECOND));
+}
+
+#[test]
+fn release_sends_nothing_more() {
+    let mut bench = Bench::new(&[], &["a"]);
+    bench.hold();
+    let effects = bench.send(PlanEvent::Release);
+    assert!(has_store(&effects));
+    assert_eq!(bench.written.as_ref().unwrap().holder, None);
+    bench.incarnation = 2;
+    bench.report(OrderNumber::default(), &[]);
+    for _ in 0..50 {
+        let effects = bench.tick(100);
+        let is_order = |effect: &PlanEffect| matches!(effect, PlanEffect::Order { .. });
+        assert!(!effects.iter().any(is_order));
+    }
+}
+
+#[test]
+fn platform_away_ends_the_term_and_new_plans() {
+    let mut bench = Bench::new(&[], &["a"]);
+    bench.hold();
+    bench.tick(16_000);
+    assert!(matches!(bench.state.phase(), LeasePhase::Follower(_)));
+    for _ in 0..100 {
+        let effects = bench.tick(100);
+        bench.send(PlanEvent::ReadReplied {
+            reply: ReadReply::Unavailable,
+        });
+        assert_eq!(loads(&effects), 0);
+    }
+}
+
+#[test]
+fn unload_is_drained_and_its_copy_withdrawn_from_routing() {
+    let mut bench = Bench::new(&[], &["a"]);
+    bench.hold();
+    let number = bench.next_order("load_model");
+    bench.report(number, &[("a", ModelState::Ready)]);
+    bench.catalogue(&[]);
+    let mut withdrawn: Option<BTreeMap<EndpointId, BTreeSet<HoldingKey>>> = None;
+    let mut withdrawn_at = 0;
+    loop {
+        let mut effects = bench.tick(100);
+        if has_store(&effects) {
+            effects.extend(bench.stored());
+        }
+        bench.report(number, &[("a", ModelState::Ready)]);
+        let is_unload = |effect: &PlanEffect| matches!(effect, PlanEffect::Order { action, .. } if kind_of(action) == "unload_model");
+        if effects.iter().any(is_unload) {
+            break;
+        }
+        for effect in effects {
+            if let PlanEffect::Publish { status } = effect
+                && !status.withdrawn.is_empty()
+                && withdrawn.is_none()
+            {
+                withdrawn_at = bench.now;
+                withdrawn = Some(status.withdrawn);
+            }
+        }
+        assert!(bench.now < 120_000, "no unload in two minutes");
+    }
+    let key = HoldingKey::Model(name::<ModelId>("a"), ModelVersion::from("v1"));
+    let runner: EndpointId = name("runner-1");
+    assert_eq!(withdrawn.unwrap()[&runner], BTreeSet::from([key]));
+    assert!(bench.now - withdrawn_at >= 5_000, "the drain was cut short");
+}
