--- a/crates/clementinepond_model/src/explore/mod.rs
+++ b/crates/clementinepond_model/src/explore/mod.rs
@@ -6,6 +6,6 @@
 mod specification;
 
 pub use entry::{MutationEntry, MutationError, SpecificationEntry};
-pub(crate) use explorer::explore;
-pub use report::{Bounds, Counterexample, ExplorationReport};
+pub(crate) use explorer::explore_all;
+pub use report::{Bounds, Counterexample, ExplorationReport, ExplorationSize};
 pub(crate) use specification::Specification;
--- a/crates/clementinepond_model/src/lib.rs
+++ b/crates/clementinepond_model/src/lib.rs
@@ -11,10 +11,12 @@
 
 mod configuration;
 mod explore;
+mod plan;
 
 pub use explore::{
-    Bounds, Counterexample, ExplorationReport, MutationEntry, MutationError, SpecificationEntry,
+    Bounds, Counterexample, ExplorationReport, ExplorationSize, MutationEntry, MutationError,
+    SpecificationEntry,
 };
 
 /// All specifications.
-pub const SPECIFICATIONS: &[SpecificationEntry] = &[configuration::ENTRY];
+pub const SPECIFICATIONS: &[SpecificationEntry] = &[plan::ENTRY, configuration::ENTRY];
--- /dev/null
+++ b/crates/clementinepond_model/src/plan/lease.rs
@@ -0,0 +1,336 @@
+//! Steps of the lease: taking it, renewing it, learning what became of a
+//! write.
+
+use super::mutation::PlanMutation;
+use super::state::{
+    DRIFT, FlyingOrder, FlyingWrite, HeldLease, LEASE, LeasePhase, LedgerEntry, MARGIN, NUMBERS,
+    ORDER_SPAN, OrderAction, OrderNumber, PlanObject, PlanState, ReportView, STAGED, SeenObject,
+};
+use super::step::{NextStates, PlanModel, PlanStep};
+
+impl PlanModel {
+    pub(super) fn lease_steps(&self, state: &PlanState, vm: usize, next: &mut NextStates) {
+        match &state.vms[vm].phase {
+            LeasePhase::Follower(seen) => self.follow(state, vm, seen, next),
+            LeasePhase::Acquiring {
+                if_version,
+                object,
+                lease_left,
+                quiet_left,
+            } => {
+                let quiet_left = *quiet_left;
+                if *lease_left == 0 {
+                    self.give_up(state, vm, next);
+                } else if let Some(version) = answered(state, vm, object.nonce, object.renewal) {
+                    let lease = self.acquired(object, version, *lease_left, quiet_left);
+                    push_phase(
+                        state,
+                        vm,
+                        PlanStep::Acquired(vm),
+                        LeasePhase::Held(lease),
+                        next,
+                    );
+                } else if state.version > *if_version {
+                    self.give_up(state, vm, next);
+                }
+            }
+            LeasePhase::Held(lease) => self.hold(state, vm, lease, next),
+        }
+    }
+
+    fn follow(&self, state: &PlanState, vm: usize, seen: &SeenObject, next: &mut NextStates) {
+        if seen.version < state.version && state.left.acquisitions > 0 {
+            let phase = LeasePhase::Follower(self.first_sight(state));
+            push_phase(state, vm, PlanStep::Observe(vm, state.version), phase, next);
+        }
+        // The VMs are alike, so that the first holder may be the first VM.
+        let may_take = vm == 0 || state.version > 0;
+        let is_able = state.left.acquisitions > 0 && state.left.writes > 0;
+        if seen.free_left > 0 || !may_take || !is_able {
+            return;
+        }
+        let object = PlanObject {
+            holder: Some(vm),
+            fencing: seen.object.fencing + 1,
+            nonce: self.nonce(state),
+            renewal: 1,
+            orders: seen.object.orders.clone(),
+        };
+        let mut after = state.clone();
+        after.left.acquisitions -= 1;
+        after.left.writes -= 1;
+        after.writes.insert(FlyingWrite {
+            vm,
+            if_version: seen.version,
+            object: object.clone(),
+        });
+        let skips = self.mutation == PlanMutation::NoWaitOnTakeover;
+        after.vms[vm].phase = LeasePhase::Acquiring {
+            if_version: seen.version,
+            object,
+            lease_left: LEASE,
+            quiet_left: if skips { 0 } else { seen.quiet_left },
+        };
+        next.push((PlanStep::Acquire(vm, seen.version), after));
+    }
+
+    pub(super) fn first_sight(&self, state: &PlanState) -> SeenObject {
+        if state.left.acquisitions == 0 {
+            // Nothing more comes of watching.
+            return SeenObject::default();
+        }
+        let drift = if self.mutation == PlanMutation::IgnoreDrift {
+            0
+        } else {
+            DRIFT
+        };
+        let held = state.object.holder.is_some();
+        SeenObject {
+            version: state.version,
+            object: state.object.clone(),
+            free_left: if held { LEASE + drift } else { 0 },
+            quiet_left: if held { LEASE + MARGIN + drift } else { 0 },
+        }
+    }
+
+    fn nonce(&self, state: &PlanState) -> u8 {
+        if self.mutation == PlanMutation::ReuseNonce {
+            return 0;
+        }
+        self.bounds.writes - state.left.writes
+    }
+
+    fn acquired(
+        &self,
+        object: &PlanObject,
+        version: u8,
+        lease_left: u8,
+        quiet_left: u8,
+    ) -> HeldLease {
+        let inherit = self.mutation != PlanMutation::ForgetInheritedOrders;
+        let inherited = object.orders.iter().filter(|_| inherit);
+        let ledger = inherited.map(|(number, action)| {
+            let entry = LedgerEntry {
+                action: *action,
+                window: quiet_left,
+                barrier: None,
+            };
+            (*number, entry)
+        });
+        let from_reply = self.mutation == PlanMutation::LeaseFromReply;
+        let is_first = object.fencing == 1 && self.bounds.untouched;
+        HeldLease {
+            fencing: object.fencing,
+            nonce: object.nonce,
+            version,
+            renewal: 1,
+            lease_left: if from_reply { LEASE } else { lease_left },
+            quiet_left,
+            pending: None,
+            // Before the first holder nothing was ever ordered.
+            settled: is_first || self.mutation == PlanMutation::NoBarrierOnTakeover,
+            takeover_barrier: None,
+            next_number: object.fencing * NUMBERS,
+            ledger: ledger.collect(),
+            view: is_first.then(ReportView::default),
+        }
+    }
+
+    fn hold(&self, state: &PlanState, vm: usize, lease: &HeldLease, next: &mut NextStates) {
+        let own = state.object.holder == Some(vm) && state.object.nonce == lease.nonce;
+        let lost = state.version > lease.version && !own;
+        if lease.lease_left == 0 || lost {
+            self.give_up(state, vm, next);
+        }
+        if lease.lease_left == 0 {
+            return;
+        }
+        if let Some(pending) = lease.pending {
+            if let Some(version) = answered(state, vm, lease.nonce, lease.renewal) {
+                self.landed(state, vm, lease, (version, pending), next);
+            } else if own && state.version == lease.version && state.left.unanswered > 0 {
+                // The write may still land; the next one has its own number.
+                let mut lease = lease.clone();
+                lease.pending = None;
+                push_phase(
+                    state,
+                    vm,
+                    PlanStep::AnswerLost(vm),
+                    LeasePhase::Held(lease),
+                    next,
+                );
+            }
+            return;
+        }
+        if state.version > lease.version && own {
+            // An earlier write of this term landed late.
+            let mut lease = lease.clone();
+            lease.version = state.version;
+            push_phase(
+                state,
+                vm,
+                PlanStep::LandedLate(vm),
+                LeasePhase::Held(lease),
+                next,
+            );
+            return;
+        }
+        self.write_steps(state, vm, lease, next);
+    }
+
+    fn write_steps(&self, state: &PlanState, vm: usize, lease: &HeldLease, next: &mut NextStates) {
+        if state.left.writes > 0 && state.left.renewals > 0 {
+            let mut renewing = state.clone();
+            renewing.left.renewals -= 1;
+            push_write(&renewing, vm, lease.clone(), PlanStep::Renew(vm), next);
+        }
+        if !self.may_order(lease) || state.left.orders == 0 {
+            return;
+        }
+        for action in lease.allowed_orders(self.bounds.unloads) {
+            let mut lease = lease.clone();
+            let number = take_number(&mut lease);
+            let early = self.mutation == PlanMutation::SendBeforeIntent;
+            let entry = LedgerEntry {
+                action,
+                window: if early { window() } else { STAGED },
+                barrier: None,
+            };
+            lease.ledger.insert(number, entry);
+            let mut after = state.clone();
+            after.left.orders -= 1;
+            if early {
+                after
+                    .orders
+                    .insert(self.new_order(vm, number, action, lease.lease_left));
+                after.vms[vm].phase = LeasePhase::Held(lease);
+                next.push((PlanStep::Issue(vm, action), after));
+            } else if after.left.writes > 0 {
+                push_write(&after, vm, lease, PlanStep::WriteIntent(vm, action), next);
+            }
+        }
+    }
+
+    /// Takes in that a write has landed, and issues what it wrote down.
+    fn landed(
+        &self,
+        state: &PlanState,
+        vm: usize,
+        lease: &HeldLease,
+        (version, pending): (u8, u8),
+        next: &mut NextStates,
+    ) {
+        let mut lease = lease.clone();
+        let from_reply = self.mutation == PlanMutation::LeaseFromReply;
+        lease.version = version;
+        lease.pending = None;
+        lease.lease_left = if from_reply { LEASE } else { pending };
+        let mut after = state.clone();
+        if lease.lease_left > 0 {
+            for (number, entry) in &mut lease.ledger {
+                if entry.window == STAGED {
+                    entry.window = window();
+                    let order = self.new_order(vm, *number, entry.action, lease.lease_left);
+                    after.orders.insert(order);
+                }
+            }
+        }
+        after.vms[vm].phase = LeasePhase::Held(lease);
+        next.push((PlanStep::Landed(vm), after));
+    }
+
+    /// Goes back to watching; orders that are not written yet are dropped.
+    fn give_up(&self, state: &PlanState, vm: usize, next: &mut NextStates) {
+        let phase = LeasePhase::Follower(self.first_sight(state));
+        push_phase(state, vm, PlanStep::StepDown(vm), phase, next);
+    }
+
+    pub(super) fn may_order(&self, lease: &HeldLease) -> bool {
+        lease.lease_left > 0 && (lease.quiet_left == 0 || self.bounds.checks_fencing)
+    }
+
+    pub(super) fn new_order(
+        &self,
+        vm: usize,
+        number: OrderNumber,
+        action: OrderAction,
+        lease_left: u8,
+    ) -> FlyingOrder {
+        let lives_on = self.mutation == PlanMutation::OrdersWithoutDeadline;
+        let left = if lives_on {
+            2 * (LEASE + MARGIN + DRIFT)
+        } else {
+            lease_left.min(ORDER_SPAN) + MARGIN
+        };
+        FlyingOrder {
+            number,
+            vm,
+            action,
+            left,
+            // Sending later than at once adds nothing to arriving later, as
+            // long as nothing is sent after the deadline.
+            sent: self.mutation != PlanMutation::SendLate,
+            arrived: false,
+        }
+    }
+}
+
+/// Returns the version that a write received, once its answer may be known.
+fn answered(state: &PlanState, vm: usize, nonce: u8, renewal: u8) -> Option<u8> {
+    let mut answers = state.answers.iter();
+    let answer = answers
+        .find(|answer| answer.vm == vm && answer.nonce == nonce && answer.renewal == renewal);
+    answer.map(|answer| answer.version)
+}
+
+/// Returns the ticks until no copy of an order that leaves now can act.
+pub(super) const fn window() -> u8 {
+    ORDER_SPAN + MARGIN + DRIFT
+}
+
+pub(super) fn take_number(lease: &mut HeldLease) -> OrderNumber {
+    lease.next_number += 1;
+    lease.next_number
+}
+
+fn push_write(
+    state: &PlanState,
+    vm: usize,
+    mut lease: HeldLease,
+    step: PlanStep,
+    next: &mut NextStates,
+) {
+    lease.renewal += 1;
+    lease.pending = Some(LEASE);
+    let orders = lease.ledger.iter();
+    let object = PlanObject {
+        holder: Some(vm),
+        fencing: lease.fencing,
+        nonce: lease.nonce,
+        renewal: lease.renewal,
+        orders: orders
+            .map(|(number, entry)| (*number, entry.action))
+            .collect(),
+    };
+    let mut after = state.clone();
+    after.left.writes -= 1;
+    after.writes.insert(FlyingWrite {
+        vm,
+        if_version: lease.version,
+        object,
+    });
+    after.vms[vm].phase = LeasePhase::Held(lease);
+    next.push((step, after));
+}
+
+fn push_phase(
+    state: &PlanState,
+    vm: usize,
+    step: PlanStep,
+    phase: LeasePhase,
+    next: &mut NextStates,
+) {
+    let mut after = state.clone();
+    after.vms[vm].phase = phase;
+    next.push((step, after));
+}
--- /dev/null
+++ b/crates/clementinepond_model/src/plan/ledger.rs
@@ -0,0 +1,82 @@
+//! The holder's ledger of orders that may still take effect.
+
+use super::mutation::PlanMutation;
+use super::state::{
+    HeldLease, LedgerEntry, MEMORY, ModelName, OrderAction, OrderNumber, ReportView,
+};
+use std::collections::BTreeSet;
+
+impl HeldLease {
+    /// Makes an order the barrier of all entries whose window is over.
+    pub(super) fn note_barrier(&mut self, number: OrderNumber) {
+        for entry in self.ledger.values_mut() {
+            if entry.window == 0 && entry.barrier.is_none() {
+                entry.barrier = Some(number);
+            }
+        }
+    }
+
+    /// Takes a report in.
+    pub(super) fn take_report(&mut self, report: ReportView, mutation: PlanMutation) {
+        let proves = |barrier: &OrderNumber| *barrier <= report.last_order;
+        self.ledger.retain(|_, entry| {
+            let done = is_done(entry, &report);
+            let over = entry.window == 0;
+            let trusted = mutation == PlanMutation::ReleaseWithoutBarrier;
+            let proved = done || trusted || entry.barrier.as_ref().is_some_and(proves);
+            let forgotten = done && mutation == PlanMutation::ForgetCopies;
+            !(over && proved || forgotten)
+        });
+        if self.takeover_barrier.as_ref().is_some_and(proves) {
+            self.settled = true;
+        }
+        self.view = Some(report);
+    }
+
+    /// Returns whether a report can change anything.
+    pub(super) fn learns_from(&self, report: &ReportView) -> bool {
+        self.view.as_ref() != Some(report) || !self.settled || !self.ledger.is_empty()
+    }
+
+    /// Returns whether an order needs a barrier to prove its fate.
+    pub(super) fn needs_barrier(&self) -> bool {
+        let unproved = |entry: &LedgerEntry| entry.window == 0 && entry.barrier.is_none();
+        !self.settled && self.takeover_barrier.is_none() || self.ledger.values().any(unproved)
+    }
+
+    /// Returns what may be ordered by what is known of the endpoint.
+    pub(super) fn allowed_orders(&self, unloads: bool) -> Vec<OrderAction> {
+        let Some(view) = self.view.as_ref().filter(|_| self.settled) else {
+            return Vec::new();
+        };
+        let mut possible: BTreeSet<ModelName> = view.loaded.clone();
+        possible.extend(self.ledger.values().filter_map(loaded));
+        let mut allowed = Vec::new();
+        for model in [ModelName::M, ModelName::N] {
+            if possible.len() < MEMORY && !possible.contains(&model) {
+                allowed.push(OrderAction::Load(model));
+            }
+            let unload = OrderAction::Unload(model);
+            let asked = self.ledger.values().any(|entry| entry.action == unload);
+            if unloads && view.loaded.contains(&model) && !asked {
+                allowed.push(unload);
+            }
+        }
+        allowed
+    }
+}
+
+fn loaded(entry: &LedgerEntry) -> Option<ModelName> {
+    match entry.action {
+        OrderAction::Load(model) => Some(model),
+        OrderAction::Unload(_) | OrderAction::Barrier => None,
+    }
+}
+
+fn is_done(entry: &LedgerEntry, report: &ReportView) -> bool {
+    match entry.action {
+        OrderAction::Load(model) => report.loaded.contains(&model),
+        OrderAction::Unload(model) => !report.loaded.contains(&model),
+        OrderAction::Barrier => true,
+    }
+}
