--- a/crates/clementinepond_daemon/src/node/status.rs
+++ b/crates/clementinepond_daemon/src/node/status.rs
@@ -71,12 +71,13 @@
 }
 
 impl NodeTask {
-    pub(super) fn status(&self) -> NodeStatus {
+    pub(super) fn status(&mut self) -> NodeStatus {
+        let accounts = self.account_lines();
         let endpoints = self.state.routes.endpoints.iter();
         NodeStatus {
             running_requests: self.state.requests.len(),
             roster: self.roster_status(),
-            accounts: self.account_lines(),
+            accounts,
             endpoints: endpoints
                 .map(|(id, state)| EndpointStatus::new(id, state))
                 .collect(),
@@ -104,12 +105,13 @@
         }
     }
 
-    fn account_lines(&self) -> Vec<AccountLine> {
+    fn account_lines(&mut self) -> Vec<AccountLine> {
         let snapshot = self.edges.in_force.snapshot();
+        let now = self.edges.clock.now();
         let accounts = snapshot.configuration.accounts.keys();
         accounts
             .filter_map(|account| {
-                let status = self.state.limit.account_status(account)?;
+                let status = self.state.limit.account_status(account, now)?;
                 let home = self.state.limit.home(account);
                 Some(AccountLine {
                     account: account.as_str().into(),
--- a/crates/clementinepond_decide/src/node/crash_part.rs
+++ b/crates/clementinepond_decide/src/node/crash_part.rs
@@ -19,7 +19,7 @@
 
     fn carry_crash(&mut self, effect: CrashEffect) {
         match effect {
-            CrashEffect::Pass { ticket } => self.dispatch(ticket, None),
+            CrashEffect::Pass { ticket, avoid } => self.dispatch_anywhere(ticket, avoid),
             CrashEffect::RunAlone { ticket, endpoint } => self.dispatch(ticket, Some(endpoint)),
             CrashEffect::Wait { .. } => {}
             CrashEffect::Refused {
--- a/crates/clementinepond_decide/src/node/request_part.rs
+++ b/crates/clementinepond_decide/src/node/request_part.rs
@@ -227,6 +227,14 @@
         });
     }
 
+    /// Dispatches a run, away from endpoints where suspects run alone if another serves it.
+    pub(super) fn dispatch_anywhere(&mut self, guard: CrashTicket, avoid: Vec<EndpointId>) {
+        if let Some(run) = self.state.runs.get_mut(&guard) {
+            run.query.avoided.extend(avoid);
+        }
+        self.dispatch(guard, None);
+    }
+
     /// Dispatches a run that the crash guard lets pass.
     pub(super) fn dispatch(&mut self, guard: CrashTicket, only: Option<EndpointId>) {
         let Some(run) = self.state.runs.remove(&guard) else {
--- a/crates/clementinepond_decide/src/request/reduce.rs
+++ b/crates/clementinepond_decide/src/request/reduce.rs
@@ -148,6 +148,7 @@
             prefix: profile.prefix,
             prompt_tokens: profile.prompt.whole(),
             excluded: stage.excluded.clone(),
+            avoided: BTreeSet::new(),
             seed,
         },
         resume_from: delivered,
--- a/crates/clementinepond_decide/src/route/choose.rs
+++ b/crates/clementinepond_decide/src/route/choose.rs
@@ -23,6 +23,7 @@
     pub fn choose(&self, query: &RouteQuery, now: LocalTime) -> Result<EndpointId, RouteError> {
         let candidates = self.candidates(query, |id, state| {
             !query.excluded.contains(id)
+                && !query.avoided.contains(id)
                 && state.backoff_deadline <= now
                 && self.is_fresh(state, now)
         });
--- a/crates/clementinepond_decide/src/route/query.rs
+++ b/crates/clementinepond_decide/src/route/query.rs
@@ -30,6 +30,8 @@
     pub prompt_tokens: u64,
     /// Endpoints that failed this request.
     pub excluded: BTreeSet<EndpointId>,
+    /// Endpoints used only when no other serves the target.
+    pub avoided: BTreeSet<EndpointId>,
     /// Random number for the choice.
     pub seed: u64,
 }
--- a/crates/clementinepond_measure/src/experiment/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/mod.rs
@@ -1,9 +1,11 @@
 //! The list of experiments.
 
 pub mod claims;
+pub mod config;
 pub mod crash;
 pub mod limits;
 pub mod placement;
+pub mod roster;
 
 use crate::ExperimentReport;
 
@@ -25,6 +27,16 @@
         about: "rate and burst over all VMs: refusals inside the rate, the worst-served account",
         run: limits::run,
     },
+    ExperimentEntry {
+        name: "roster",
+        about: "membership: parts in use, platform calls, bytes between VMs",
+        run: roster::run,
+    },
+    ExperimentEntry {
+        name: "config",
+        about: "configuration and withdrawn keys: time until in force everywhere",
+        run: config::run,
+    },
     ExperimentEntry {
         name: "claims",
         about: "keyed calls: runs beyond one, platform writes, cost of faults",
