--- a/crates/clementinepond_decide/src/plan/planner/assign.rs
+++ b/crates/clementinepond_decide/src/plan/planner/assign.rs
@@ -84,7 +84,8 @@
         entry.deficit -= taken;
     }
 
-    /// Returns the load that is lost if a copy goes.
+    /// Returns the load that is lost if a copy goes: what the other copies
+    /// cannot take over now, and a part of what it may be needed for again.
     pub(super) fn loss(&self, model: usize, copy: usize) -> f64 {
         let entry = &self.models[model];
         let others = || {
@@ -103,6 +104,8 @@
             .sum();
         let count = u32::try_from(others().count() + 1).unwrap_or(u32::MAX);
         let held = entry.need.held / f64::from(count);
-        (entry.copies[copy].load.max(held) - spare).max(0.0) * entry.weight
+        let regret = f64::from(self.problem.tuning.regret_percent) / 100.0;
+        let lost = (entry.copies[copy].load - spare).max(0.0);
+        (lost + regret * held) * entry.weight
     }
 }
--- a/crates/clementinepond_decide/src/plan/planner/tuning.rs
+++ b/crates/clementinepond_decide/src/plan/planner/tuning.rs
@@ -1,6 +1,5 @@
 //! Weights of the planner.
 
-use crate::plan::ComputeLoad;
 use clementinepond_types::TimeSpan;
 use serde::{Deserialize, Serialize};
 
@@ -12,12 +11,14 @@
     pub headroom_percent: u32,
     /// Capacity lost for each further busy model on an endpoint, in hundredths.
     pub interference_percent: u32,
-    /// Smallest gain of one load.
-    pub smallest_gain: ComputeLoad,
-    /// Smallest further gain for each unload.
-    pub unload_cost: ComputeLoad,
+    /// Smallest gain of one load, in hundredths of what a copy can carry.
+    pub smallest_gain_percent: u32,
+    /// Further gain for each unload, in hundredths of what a copy can carry.
+    pub unload_cost_percent: u32,
     /// Gain over the loss that a replacement must bring, in hundredths.
     pub gain_over_loss_percent: u32,
+    /// Part of a copy's past load that counts as lost with it, in hundredths.
+    pub regret_percent: u32,
     /// Most loads considered in one plan.
     pub picks: u32,
     /// Loads for which room may be made ahead of the weight store.
@@ -37,17 +38,18 @@
 impl Default for PlannerTuning {
     fn default() -> Self {
         Self {
-            headroom_percent: 115,
+            headroom_percent: 110,
             interference_percent: 3,
-            smallest_gain: ComputeLoad::from_milli(50),
-            unload_cost: ComputeLoad::from_milli(50),
+            smallest_gain_percent: 5,
+            unload_cost_percent: 5,
             gain_over_loss_percent: 150,
+            regret_percent: 5,
             picks: 8,
             pipeline: 3,
             free_copies: 1,
             level_time: TimeSpan::from_secs(15),
             trend_time: TimeSpan::from_secs(60),
-            hold_time: TimeSpan::from_secs(300),
+            hold_time: TimeSpan::from_secs(1_800),
             look_ahead: TimeSpan::from_secs(60),
         }
     }
--- a/crates/clementinepond_decide/src/plan/upkeep.rs
+++ b/crates/clementinepond_decide/src/plan/upkeep.rs
@@ -3,8 +3,8 @@
 use super::catalogue::rendezvous_weight;
 use super::lease::{LeasePhase, PendingWrite, PlanLease, SeenObject};
 use super::{
-    OrderNumber, PlanEffect, PlanMutation, PlanObject, PlanState, draining, intake, status, view,
-    writing,
+    EndpointEntry, OrderNumber, PlanEffect, PlanMutation, PlanObject, PlanState, draining, intake,
+    status, view, writing,
 };
 use clementinepond_types::{FencingNumber, LocalTime, ObjectVersion};
 
@@ -93,14 +93,15 @@
     free_at + stagger
 }
 
-/// Returns whether no endpoint has ever had an order.
+/// Returns whether there are endpoints and none has ever had an order.
 fn is_untouched(state: &PlanState) -> bool {
-    state.endpoints.values().all(|entry| {
+    let is_fresh = |entry: &EndpointEntry| {
         entry.report.as_ref().is_some_and(|report| {
             report.last_order == OrderNumber::default()
                 && report.fencing_number == FencingNumber::default()
         })
-    })
+    };
+    !state.endpoints.is_empty() && state.endpoints.values().all(is_fresh)
 }
 
 fn acquire(state: &mut PlanState, seen: &SeenObject, seed: u64, now: LocalTime) -> PlanEffect {
--- a/crates/clementinepond_decide/src/plan/writing.rs
+++ b/crates/clementinepond_decide/src/plan/writing.rs
@@ -11,6 +11,9 @@
 /// Part of the lease after which it is renewed.
 const RENEWAL_PART: u64 = 3;
 
+/// Goals that the object keeps for the next holder's operators.
+const WRITTEN_GOALS: usize = 16;
+
 /// Returns the time between two model loads of this data centre.
 pub(super) fn load_interval(state: &PlanState) -> TimeSpan {
     let hourly = u64::from(state.catalogue.share.loads_an_hour.max(1));
@@ -92,7 +95,7 @@
         arrival_margin: term.arrival_margin,
         order_span: term.order_span,
         orders,
-        goals: state.goals.clone(),
+        goals: state.goals.iter().take(WRITTEN_GOALS).cloned().collect(),
     };
     let if_version = term.version;
     term.write = Some(PendingWrite {
