--- a/crates/clementinepond_decide/src/limit/loan.rs
+++ b/crates/clementinepond_decide/src/limit/loan.rs
@@ -2,7 +2,7 @@
 
 use super::account::{AccountState, AskRound};
 use super::event::PartFraction;
-use super::message::{LoanPoll, LoanStep, PartLoan};
+use super::message::{KeptCapacity, LoanPoll, LoanStep, PartLoan};
 use super::outbox::EffectOutbox;
 use super::settings::LimitMutation;
 use super::slice::{BorrowedParts, LentParts};
@@ -158,7 +158,14 @@
         step: poll.step,
         rosters: lent.rosters.clone(),
         fraction: state.rights.fraction,
-        kept: lent.kept.clone().into_iter().collect(),
+        kept: lent
+            .kept
+            .iter()
+            .map(|(account, capacity)| KeptCapacity {
+                account: account.clone(),
+                capacity: *capacity,
+            })
+            .collect(),
         time_left: span,
     };
     record(state, lent, now);
@@ -271,7 +278,11 @@
     let Some(deadline) = loan_deadline(state, from, &loan, now) else {
         return;
     };
-    let kept: BTreeMap<AccountId, TokenCount> = loan.kept.into_iter().collect();
+    let kept: BTreeMap<AccountId, TokenCount> = loan
+        .kept
+        .into_iter()
+        .map(|kept| (kept.account, kept.capacity))
+        .collect();
     let rights = &mut state.rights;
     if let Some(current) = rights.borrowed.get_mut(from) {
         if current.step.counter >= loan.step.counter {
--- a/crates/clementinepond_decide/src/limit/lot.rs
+++ b/crates/clementinepond_decide/src/limit/lot.rs
@@ -18,7 +18,7 @@
 #[derive(Debug)]
 pub(super) struct BorrowedChannel {
     pub(super) id: ChannelId,
-    lender: Option<u64>,
+    lender: Option<u32>,
     step: u32,
     sent: VecDeque<(u32, LocalTime)>,
     granted: TokenCount,
@@ -130,6 +130,8 @@
     /// Latest moment until which the borrower may count on the channel.
     pub(super) deadline: LocalTime,
     forget_at: LocalTime,
+    /// Whether the last report wanted tokens at once.
+    pub(super) is_gathering: bool,
     pub(super) decided: BTreeSet<TicketId>,
 }
 
@@ -149,6 +151,7 @@
             step: 0,
             deadline: now,
             forget_at,
+            is_gathering: false,
             decided: BTreeSet::new(),
         }
     }
--- a/crates/clementinepond_decide/src/limit/lot_exchange.rs
+++ b/crates/clementinepond_decide/src/limit/lot_exchange.rs
@@ -47,6 +47,7 @@
     let is_lasting = lent.outstanding() > TokenCount::ZERO;
     if is_newer {
         lent.step = report.step;
+        lent.is_gathering = report.want > TokenCount::ZERO;
     }
     state.channels.insert(id.clone());
     if is_newer {
@@ -165,7 +166,7 @@
         account.bucket.give_up(lapsed, TokenCount::ZERO);
     }
     if let Some(answer) = account.round.answers.get_mut(from) {
-        answer.hint = Some(grant.hint);
+        answer.hint = grant.hint;
     }
     for denial in &grant.denied {
         refuse_denied(state, id, denial, outbox);
--- a/crates/clementinepond_decide/src/limit/message.rs
+++ b/crates/clementinepond_decide/src/limit/message.rs
@@ -17,7 +17,7 @@
 #[display("{incarnation}/{counter}")]
 pub struct ChannelId {
     /// Incarnation of the borrower.
-    pub incarnation: u64,
+    pub incarnation: u32,
     /// Counter within the incarnation.
     pub counter: u32,
 }
@@ -29,7 +29,7 @@
 #[display("{incarnation}/{counter}")]
 pub struct LoanStep {
     /// Incarnation of the borrower.
-    pub incarnation: u64,
+    pub incarnation: u32,
     /// Counter within the incarnation.
     pub counter: u32,
 }
@@ -43,6 +43,16 @@
     pub using: Option<LoanStep>,
 }
 
+/// Capacity of one account that the lender of parts keeps.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptCapacity {
+    /// The account.
+    pub account: AccountId,
+    /// Capacity kept.
+    #[serde(with = "super::compact::count")]
+    pub capacity: TokenCount,
+}
+
 /// Loan of the lender's parts, for the accounts that the borrower serves.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartLoan {
@@ -53,8 +63,9 @@
     /// Parts lent.
     pub fraction: PartFraction,
     /// Capacity that the lender keeps, for accounts with running requests.
-    pub kept: Vec<(AccountId, TokenCount)>,
+    pub kept: Vec<KeptCapacity>,
     /// Life of the loan.
+    #[serde(with = "super::compact::span")]
     pub time_left: TimeSpan,
 }
 
@@ -64,10 +75,12 @@
     /// Admission that waits.
     pub ticket: TicketId,
     /// Tokens needed.
+    #[serde(with = "super::compact::count")]
     pub cost: TokenCount,
     /// Priority class.
     pub priority: PriorityClass,
     /// Time until it is refused.
+    #[serde(with = "super::compact::span")]
     pub time_left: TimeSpan,
 }
 
@@ -81,14 +94,18 @@
     /// Number of the report within the channel.
     pub step: u32,
     /// Capacity granted since the channel was opened, as far as is known.
+    #[serde(with = "super::compact::count")]
     pub granted: TokenCount,
     /// Capacity returned since the channel was opened.
+    #[serde(with = "super::compact::count")]
     pub returned_capacity: TokenCount,
     /// Tokens returned since the channel was opened.
+    #[serde(with = "super::compact::count")]
     pub returned_level: TokenCount,
     /// Every waiting request that the lender may serve.
     pub items: Vec<LotItem>,
     /// Tokens wanted at once, or as many of them as can be spared.
+    #[serde(with = "super::compact::count")]
     pub want: TokenCount,
 }
 
@@ -100,6 +117,7 @@
     /// Why it is denied.
     pub reason: RefusalReason,
     /// Time after which it could be served.
+    #[serde(with = "super::compact::span")]
     pub retry_after: TimeSpan,
 }
 
@@ -107,10 +125,13 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LevelHint {
     /// Tokens at hand.
+    #[serde(with = "super::compact::count")]
     pub level: TokenCount,
     /// Refill rate.
+    #[serde(with = "super::compact::rate")]
     pub rate: TokenRate,
     /// Capacity.
+    #[serde(with = "super::compact::count")]
     pub capacity: TokenCount,
 }
 
@@ -122,17 +143,19 @@
     /// The channel.
     pub channel: ChannelId,
     /// Incarnation of the lender.
-    pub lender: u64,
+    pub lender: u32,
     /// Number of the last report seen.
     pub step: u32,
     /// Capacity and tokens granted since the channel was opened.
+    #[serde(with = "super::compact::count")]
     pub granted: TokenCount,
     /// Life of everything granted in the channel, from that report.
+    #[serde(with = "super::compact::span")]
     pub time_left: TimeSpan,
     /// Requests that are denied.
     pub denied: Vec<ItemDenial>,
-    /// What the lender has left.
-    pub hint: LevelHint,
+    /// What the lender has left, for a borrower that wants more.
+    pub hint: Option<LevelHint>,
 }
 
 /// Everything that one VM tells another at one moment.
--- a/crates/clementinepond_decide/src/limit/mod.rs
+++ b/crates/clementinepond_decide/src/limit/mod.rs
@@ -19,6 +19,7 @@
 mod account;
 mod admit;
 mod bucket;
+mod compact;
 
 mod effect;
 mod event;
@@ -44,8 +45,8 @@
     TicketId,
 };
 pub use message::{
-    ChannelId, ItemDenial, LevelHint, LimitMessage, LoanPoll, LoanStep, LotGrant, LotItem,
-    LotReport, PartLoan,
+    ChannelId, ItemDenial, KeptCapacity, LevelHint, LimitMessage, LoanPoll, LoanStep, LotGrant,
+    LotItem, LotReport, PartLoan,
 };
 pub use reduce::reduce;
 pub use settings::{LimitMutation, LimitSettings};
--- a/crates/clementinepond_decide/src/limit/outbox.rs
+++ b/crates/clementinepond_decide/src/limit/outbox.rs
@@ -158,13 +158,15 @@
 ) -> Option<LotGrant> {
     let account = state.accounts.get(id)?;
     let committed = account.bucket.lent() + account.bucket.held();
+    let horizon = now + state.lot_span();
     let assured = state
         .rights
-        .assured_until(id, account, committed, &state.settings);
-    let deadline = assured.min(now + state.lot_span());
+        .assured_until(id, account, committed, horizon, &state.settings);
+    let deadline = assured.min(horizon);
     let account = state.accounts.get_mut(id)?;
     let hint = account.hint();
     let lent = account.lent.get_mut(&(to.clone(), channel))?;
+    let hint = lent.is_gathering.then_some(hint);
     lent.grant(TokenCount::ZERO, deadline);
     Some(LotGrant {
         account: id.clone(),
--- a/crates/clementinepond_decide/src/limit/periodic.rs
+++ b/crates/clementinepond_decide/src/limit/periodic.rs
@@ -7,9 +7,14 @@
 use super::settings::LimitSettings;
 use super::slice::PartRights;
 use super::state::LimitState;
-use clementinepond_types::{AccountId, LocalTime, TokenCount, VmId};
+use clementinepond_types::{AccountId, LocalTime, TimeSpan, TokenCount, VmId};
 use std::collections::BTreeMap;
 
+/// Share of a channel that is worth a return of its own.
+const RETURN_PARTS: u64 = 1;
+/// Whole of that share.
+const RETURN_WHOLE: u64 = 2;
+
 /// Does what is due.
 pub(super) fn tick(state: &mut LimitState, now: LocalTime, outbox: &mut EffectOutbox) {
     loan::poll_due(state, now, outbox);
@@ -27,6 +32,7 @@
 }
 
 fn report_all(state: &mut LimitState, now: LocalTime, outbox: &mut EffectOutbox) {
+    let half = state.lot_span().fraction(1, 2);
     let ids: Vec<AccountId> = state.channels.iter().cloned().collect();
     for id in ids {
         let Some(account) = state.accounts.get_mut(&id) else {
@@ -35,7 +41,7 @@
         account.settle(now, &state.settings);
         drop_abandoned(account, now, &state.settings);
         let most = returnable(&id, account, &state.rights, &state.settings);
-        let due = return_unused(account, &most, now, &state.settings);
+        let due = return_unused(account, &most, half, now);
         if account.is_quiet() {
             state.channels.remove(&id);
         }
@@ -83,11 +89,10 @@
 fn return_unused(
     account: &mut AccountState,
     most: &BTreeMap<VmId, TokenCount>,
+    half: TimeSpan,
     now: LocalTime,
-    settings: &LimitSettings,
 ) -> Vec<(VmId, bool)> {
     let mut due = Vec::new();
-    let half = settings.lot_span.fraction(1, 2);
     let is_idle = account.queue.is_empty();
     let bucket = &mut account.bucket;
     let mut returned = TokenCount::ZERO;
@@ -103,17 +108,19 @@
         } else {
             TokenCount::ZERO
         };
-        let is_returning = capacity + level > TokenCount::ZERO;
-        if is_returning {
-            returned += capacity + level;
-            channel.give_back(capacity + level, level);
-            bucket.give_up(capacity + level, level);
-        }
-        let is_lasting = channel.outstanding() > TokenCount::ZERO;
         let is_ageing = channel
             .deadline()
             .is_some_and(|deadline| now.until(deadline) < half);
-        if is_returning || (is_lasting && is_ageing) {
+        let back = capacity + level;
+        let is_worthwhile = back > TokenCount::ZERO
+            && back >= channel.outstanding().fraction(RETURN_PARTS, RETURN_WHOLE);
+        if is_worthwhile || is_ageing {
+            returned += back;
+            channel.give_back(back, level);
+            bucket.give_up(back, level);
+        }
+        let is_lasting = channel.outstanding() > TokenCount::ZERO;
+        if is_worthwhile || (is_lasting && is_ageing) {
             due.push((peer.clone(), is_lasting));
         }
     }
--- a/crates/clementinepond_decide/src/limit/serve.rs
+++ b/crates/clementinepond_decide/src/limit/serve.rs
@@ -87,8 +87,11 @@
         };
     }
     let committed = account.bucket.lent() + account.bucket.held() + entry.cost;
-    let assured = state.rights.assured_until(id, account, committed, settings);
-    (assured > now).then(|| assured.min(now + settings.dispatch_wait))
+    let horizon = now + settings.dispatch_wait;
+    let assured = state
+        .rights
+        .assured_until(id, account, committed, horizon, settings);
+    (assured > now).then(|| assured.min(horizon))
 }
 
 fn give(
--- a/crates/clementinepond_decide/src/limit/settings.rs
+++ b/crates/clementinepond_decide/src/limit/settings.rs
@@ -86,10 +86,10 @@
         Self {
             queue_wait: TimeSpan::from_millis(300),
             dispatch_wait: TimeSpan::from_secs(1),
-            lot_span: TimeSpan::from_secs(4),
+            lot_span: TimeSpan::from_secs(10),
             lot_span_floor: TimeSpan::from_millis(100),
-            loan_interval: TimeSpan::from_secs(1),
-            loan_interval_per_peer: TimeSpan::from_millis(50),
+            loan_interval: TimeSpan::from_secs(2),
+            loan_interval_per_peer: TimeSpan::from_millis(100),
             loan_intervals: 3,
             retry_interval: TimeSpan::from_millis(40),
             report_interval: TimeSpan::from_millis(500),
--- a/crates/clementinepond_decide/src/limit/slice.rs
+++ b/crates/clementinepond_decide/src/limit/slice.rs
@@ -171,17 +171,24 @@
 
     /// Returns the moment until which `amount` of the capacity is sure.
     ///
-    /// Returns the clock's origin when the capacity is smaller.
+    /// Returns the clock's origin when the capacity is smaller. Moments after
+    /// `horizon` are not told apart.
     pub(super) fn assured_until(
         &self,
         id: &AccountId,
         account: &AccountState,
         amount: TokenCount,
+        horizon: LocalTime,
         settings: &LimitSettings,
     ) -> LocalTime {
         if settings.has(LimitMutation::IgnoreBacking) {
             return LocalTime::NEVER;
         }
+        let deadlines = self.borrowed.values().map(|loan| loan.deadline);
+        let earliest = deadlines.min().unwrap_or(LocalTime::NEVER);
+        if amount <= account.bucket.slice() && earliest >= horizon {
+            return earliest;
+        }
         let Some(limit) = account.limit else {
             return LocalTime::ORIGIN;
         };
--- a/crates/clementinepond_decide/src/limit/state.rs
+++ b/crates/clementinepond_decide/src/limit/state.rs
@@ -27,7 +27,7 @@
 
 impl PollState {
     /// Numbers the next poll and remembers when it was sent.
-    pub(super) fn next_step(&mut self, incarnation: u64, now: LocalTime) -> LoanStep {
+    pub(super) fn next_step(&mut self, incarnation: u32, now: LocalTime) -> LoanStep {
         self.counter = self.counter.saturating_add(1);
         if self.sent.len() == REMEMBERED_POLLS {
             self.sent.pop_front();
@@ -82,7 +82,7 @@
 #[derive(Debug)]
 pub struct LimitState {
     pub(super) settings: LimitSettings,
-    pub(super) incarnation: u64,
+    pub(super) incarnation: u32,
     pub(super) epoch: Option<Epoch>,
     pub(super) table_version: Option<ObjectVersion>,
     pub(super) rights: PartRights,
@@ -104,7 +104,7 @@
     ///
     /// `incarnation` is a number that no earlier process of this VM had.
     #[must_use]
-    pub fn new(settings: LimitSettings, vm: VmId, incarnation: u64) -> Self {
+    pub fn new(settings: LimitSettings, vm: VmId, incarnation: u32) -> Self {
         Self {
             settings,
             incarnation,
@@ -189,7 +189,10 @@
         let promised = account.lent.get(channel)?.deadline;
         let committed = account.bucket.lent() + account.bucket.held() + amount;
         let settings = &self.settings;
-        let assured = self.rights.assured_until(id, account, committed, settings);
+        let horizon = now + self.lot_span();
+        let assured = self
+            .rights
+            .assured_until(id, account, committed, horizon, settings);
         let needed = promised.max(now + settings.lot_span_floor);
         (assured >= needed).then(|| assured.min(now + self.lot_span()))
     }
