--- a/crates/clementinepond_measure/src/experiment/limits/ledger.rs
+++ b/crates/clementinepond_measure/src/experiment/limits/ledger.rs
@@ -70,7 +70,8 @@
             last = spend.at;
             worst = worst.max(mark - i128::from(burst) * SCALE);
         }
-        u64::try_from(worst.max(0).div_euclid(SCALE) + i128::from(worst > 0)).unwrap_or(u64::MAX)
+        let whole = (worst.max(0) + SCALE - 1) / SCALE;
+        u64::try_from(whole).unwrap_or(u64::MAX)
     }
 }
 
--- a/crates/clementinepond_measure/src/experiment/limits/plan.rs
+++ b/crates/clementinepond_measure/src/experiment/limits/plan.rs
@@ -5,6 +5,8 @@
 use clementinepond_decide::limit::{AccountLimit, LimitSettings};
 use clementinepond_types::{TokenCount, TokenRate};
 
+/// Tokens that a running stream reserves at a time.
+const PART_SIZE: u64 = 128;
 /// One second, in microseconds.
 pub const SECOND: u64 = 1_000_000;
 
@@ -142,6 +144,8 @@
     pub settle_time: u64,
     /// Interval between audits of all rights, in microseconds; none when 0.
     pub audit: u64,
+    /// Whether the run ends at the first breach that an audit finds.
+    pub stops_at_breach: bool,
 }
 
 impl FleetPlan {
@@ -155,7 +159,7 @@
             warm_up: 20 * SECOND,
             length: 120 * SECOND,
             balance: BalancePlan::Skewed,
-            reserve: ReservePlan::Whole,
+            reserve: ReservePlan::Parts(PART_SIZE),
             network: NetworkPlan::healthy(),
             drift_ppm: 100,
             policy: PolicyKind::Current,
@@ -164,6 +168,7 @@
             tick: 20_000,
             settle_time: 8 * SECOND,
             audit: 0,
+            stops_at_breach: false,
         }
     }
 }
--- /dev/null
+++ b/crates/clementinepond_measure/tests/limits.rs
@@ -0,0 +1,170 @@
+//! Limits over a whole fleet, with each guard removed in turn.
+
+use clementinepond_decide::limit::{AccountLimit, LimitMutation};
+use clementinepond_measure::experiment::limits::{
+    FaultKind, FaultPlan, FleetPlan, FleetSimulation, LimitChange, NetworkPlan, PolicyKind,
+    ReservePlan, SECOND, SpendLedger, chaos, cut_off, skewed, today_accounts,
+};
+use clementinepond_types::{TokenCount, TokenRate};
+
+/// Seeds tried before a removed guard counts as not needed.
+const SEED_LIMIT: u64 = 20;
+
+fn repeat_fault(plan: &mut FleetPlan, every: u64, kind: impl Fn(usize) -> FaultKind) {
+    plan.faults = (0..6)
+        .map(|index| FaultPlan {
+            at: 14 * SECOND + index as u64 * every,
+            kind: kind(index),
+        })
+        .filter(|fault| fault.at < plan.length)
+        .collect();
+}
+
+/// Plans a run in which the removed guard is needed often.
+fn plan(mutation: LimitMutation, seed: u64) -> FleetPlan {
+    let order = [0, 3, 1, 4, 2];
+    let mut plan = chaos(seed, &[3, 2], 40 * SECOND);
+    plan.stops_at_breach = true;
+    match mutation {
+        LimitMutation::TrustRestartedLender => {
+            plan.accounts = today_accounts(900);
+            plan.reserve = ReservePlan::Whole;
+            plan.network = NetworkPlan::healthy();
+            repeat_fault(&mut plan, 9 * SECOND, |index| FaultKind::Restart {
+                vm: order[index % 3],
+            });
+        }
+        LimitMutation::ConfirmEarly | LimitMutation::ForgetEarlierRoster => {
+            plan = chaos(seed, &[5, 2], 30 * SECOND);
+            plan.stops_at_breach = true;
+            plan.network = NetworkPlan::healthy();
+            repeat_fault(&mut plan, 5 * SECOND, |vm| FaultKind::Leave { vm });
+            plan.faults.truncate(3);
+        }
+        LimitMutation::IgnoreBacking => {
+            plan.network = NetworkPlan::healthy();
+            repeat_fault(&mut plan, 5 * SECOND, |index| FaultKind::Isolate {
+                vm: order[index % 5],
+                span: 9 * SECOND,
+            });
+        }
+        _ => {}
+    }
+    plan.settings.mutation = mutation;
+    plan
+}
+
+fn breaches(plan: FleetPlan) -> u64 {
+    let outcome = FleetSimulation::run(plan);
+    outcome.audit_breaches + outcome.over_limit()
+}
+
+fn assert_guard_is_needed(mutation: LimitMutation, first_seed: u64) {
+    let mut seeds = first_seed..first_seed + SEED_LIMIT;
+    let found = seeds.find(|seed| breaches(plan(mutation, *seed)) > 0);
+    assert!(found.is_some(), "{mutation:?}: no run went over a limit");
+    let seed = found.unwrap();
+    let mut sound = plan(mutation, seed);
+    sound.settings.mutation = LimitMutation::None;
+    assert_eq!(
+        breaches(sound),
+        0,
+        "{mutation:?}: seed {seed} with the guard"
+    );
+}
+
+macro_rules! guards {
+    ($($name:ident: $mutation:ident from $seed:literal,)+) => {$(
+        #[test]
+        fn $name() {
+            assert_guard_is_needed(LimitMutation::$mutation, $seed);
+        }
+    )+};
+}
+
+guards! {
+    a_lapsed_lot_is_dropped: KeepLapsedLots from 0,
+    a_lapsed_loan_is_dropped: KeepLapsedLoans from 0,
+    a_deadline_counts_from_the_request: CountFromReceipt from 3,
+    clocks_drift: IgnoreDrift from 0,
+    capacity_moves_with_tokens: LendWithoutCapacity from 0,
+    a_lot_is_backed_until_its_deadline: IgnoreBacking from 7,
+    a_narrower_loan_is_confirmed_late: ConfirmEarly from 3,
+    a_repeated_grant_counts_once: AddRepeatedGrants from 0,
+    a_repeated_return_counts_once: AddRepeatedReturns from 0,
+    loans_of_two_rosters_share_a_list: ForgetEarlierRoster from 0,
+    a_restarted_vm_waits: SkipStartWait from 1,
+    a_restarted_lender_is_not_trusted: TrustRestartedLender from 0,
+    a_lent_slice_is_not_used: KeepLentSlice from 0,
+}
+
+#[test]
+fn no_account_goes_over_its_limit_under_faults() {
+    for seed in 100..104 {
+        let outcome = FleetSimulation::run(chaos(seed, &[3, 2], 40 * SECOND));
+        assert_eq!(outcome.audit_breaches, 0, "seed {seed}");
+        assert_eq!(outcome.over_limit(), 0, "seed {seed}");
+        let ran = outcome
+            .accounts
+            .iter()
+            .any(|account| account.admitted.total() > 0);
+        assert!(ran, "seed {seed} ran nothing");
+    }
+}
+
+#[test]
+fn a_skewed_balancer_costs_a_tenth_of_the_static_split() {
+    let mut current = skewed(5, &[3, 2]);
+    current.length = 60 * SECOND;
+    current.reserve = ReservePlan::Parts(128);
+    let mut baseline = current.clone();
+    baseline.policy = PolicyKind::StaticSplit;
+    let current = FleetSimulation::run(current).wrongful_share();
+    let baseline = FleetSimulation::run(baseline).wrongful_share();
+    assert!(current * 10.0 <= baseline, "{current} {baseline}");
+}
+
+#[test]
+fn a_run_is_repeatable() {
+    let run = || {
+        let mut plan = cut_off(3, &[2, 2]);
+        plan.length = 50 * SECOND;
+        let outcome = FleetSimulation::run(plan);
+        (
+            outcome.bytes,
+            outcome.messages,
+            outcome.refused_share().to_bits(),
+        )
+    };
+    assert_eq!(run(), run());
+}
+
+#[test]
+fn the_window_check_is_exact() {
+    let limit = |rate, burst| AccountLimit {
+        rate: TokenRate::new(rate),
+        burst: TokenCount::new(burst),
+    };
+    let micro = |tokens| TokenCount::new(tokens).micro();
+    let changes = [LimitChange {
+        at: 0,
+        limit: limit(10, 100),
+    }];
+    let mut ledger = SpendLedger::default();
+    ledger.note(SECOND, micro(100));
+    ledger.note(2 * SECOND, micro(10));
+    assert_eq!(ledger.excess(&changes, 0), 0);
+    ledger.note(2 * SECOND, 1);
+    assert_eq!(ledger.excess(&changes, 0), 1);
+    let lowered = [
+        changes[0],
+        LimitChange {
+            at: 3 * SECOND,
+            limit: limit(1, 10),
+        },
+    ];
+    let mut ledger = SpendLedger::default();
+    ledger.note(4 * SECOND, micro(50));
+    ledger.note(20 * SECOND, micro(11));
+    assert_eq!(ledger.excess(&lowered, 5 * SECOND), micro(1));
+}
