--- a/crates/clementinepond_decide/tests/limit.rs
+++ b/crates/clementinepond_decide/tests/limit.rs
@@ -1,5 +1,7 @@
 //! Limits on one and on a few VMs, event by event.
 
+#![expect(clippy::unwrap_used, reason = "a failed helper fails its test")]
+
 use clementinepond_decide::limit::{
     AccountLimit, AccountTable, AdmissionAsk, LimitEffect, LimitEvent, LimitMessage, LimitMutation,
     LimitSettings, LimitState, RefusalReason, RemoteCentre, RosterView, TicketId, reduce,
--- a/crates/clementinepond_measure/tests/limits.rs
+++ b/crates/clementinepond_measure/tests/limits.rs
@@ -1,5 +1,7 @@
 //! Limits over a whole fleet, with each guard removed in turn.
 
+#![expect(clippy::unwrap_used, reason = "a failed helper fails its test")]
+
 use clementinepond_decide::limit::{AccountLimit, LimitMutation};
 use clementinepond_measure::experiment::limits::{
     FaultKind, FaultPlan, FleetPlan, FleetSimulation, LimitChange, NetworkPlan, PolicyKind,
