--- a/crates/clementinepond_decide/src/roster/plan.rs
+++ b/crates/clementinepond_decide/src/roster/plan.rs
@@ -169,7 +169,6 @@
 
 /// Returns whether a VM has been absent and silent for the hold-off.
 fn is_gone(state: &RosterState, vm: &VmId, now: LocalTime) -> bool {
-    let hold_off = state.settings.removal_hold_off();
     let Some(&absent) = state.absent.get(vm) else {
         return false;
     };
@@ -177,8 +176,9 @@
         return true;
     }
     let heard = state.heard.moment(vm).unwrap_or(LocalTime::NEVER);
-    let is_silent = heard < LocalTime::NEVER && now >= heard + hold_off;
-    now >= absent + hold_off && (is_silent || state.mutated(RosterMutation::RemoveDespiteHeartbeat))
+    let is_silent = heard < LocalTime::NEVER && now >= heard + state.settings.removal_silence();
+    let is_absent = now >= absent + state.settings.removal_absence();
+    is_absent && (is_silent || state.mutated(RosterMutation::RemoveDespiteHeartbeat))
 }
 
 /// Gives the parts that nobody holds to live members.
--- a/crates/clementinepond_decide/src/roster/settings.rs
+++ b/crates/clementinepond_decide/src/roster/settings.rs
@@ -114,10 +114,22 @@
 }
 
 impl RosterSettings {
-    /// Returns how long a VM must be gone and silent before its removal.
+    /// Returns how long the platform's list must lack a VM before its removal.
+    ///
+    /// A VM that has just started may not be listed for the list's lag.
     #[must_use]
-    pub fn removal_hold_off(&self) -> TimeSpan {
-        self.stretched(self.list_lag + self.validity + self.settle + self.loan_span)
+    pub fn removal_absence(&self) -> TimeSpan {
+        self.stretched(self.list_lag + self.list_period)
+    }
+
+    /// Returns how long a VM must be silent before its removal.
+    ///
+    /// A VM that stops running keeps the use of its parts for the validity,
+    /// its grants live on for a loan, and news of it may be on its way for
+    /// the settle time.
+    #[must_use]
+    pub fn removal_silence(&self) -> TimeSpan {
+        self.stretched(self.validity + self.loan_span + self.settle)
     }
 
     /// Returns how long a new process waits for the grants of an earlier one.
