--- /dev/null
+++ b/crates/clementinepond_decide/tests/configuration.rs
@@ -0,0 +1,375 @@
+//! Configuration and withdrawn keys: small schedules, each with its guard.
+
+#![expect(clippy::unwrap_used, reason = "helpers of tests fail the test")]
+
+use clementinepond_decide::configuration::{
+    ConfigurationEffect, ConfigurationEvent, ConfigurationMessage, ConfigurationMutation,
+    ConfigurationSettings, ConfigurationState, ContentDelta, ContentDigest, ContentUpdate,
+    CutOffPolicy, WithdrawalEntry, reduce,
+};
+use clementinepond_decide::port::{ReadReply, StoreReply, VersionedObject};
+use clementinepond_decide::roster::WatchAnswer;
+use clementinepond_types::{KeyDigest, LocalTime, ObjectVersion, TimeSpan, VmId};
+use std::collections::BTreeSet;
+
+const START: LocalTime = LocalTime::from_micros(5_000_000);
+
+fn vm(name: &str) -> VmId {
+    name.parse().unwrap()
+}
+
+fn key(number: u8) -> KeyDigest {
+    KeyDigest::new([number; 32])
+}
+
+fn settings(mutation: ConfigurationMutation) -> ConfigurationSettings {
+    ConfigurationSettings {
+        mutation,
+        ..ConfigurationSettings::default()
+    }
+}
+
+fn state(settings: ConfigurationSettings) -> ConfigurationState {
+    ConfigurationState::new(vm("vm-1"), settings, LocalTime::ORIGIN)
+}
+
+fn sound() -> ConfigurationState {
+    state(settings(ConfigurationMutation::None))
+}
+
+fn whole(text: &str) -> ContentUpdate {
+    ContentUpdate::Whole {
+        text: text.into(),
+        digest: ContentDigest::of(text),
+    }
+}
+
+fn receive_at(
+    state: &mut ConfigurationState,
+    (version, update): (u64, ContentUpdate),
+    subtree: &[VmId],
+    now: LocalTime,
+) -> Vec<ConfigurationEffect> {
+    let message = ConfigurationMessage::Update {
+        version: ObjectVersion::new(version),
+        update,
+        subtree: subtree.to_vec(),
+    };
+    let from = vm("vm-2");
+    reduce(state, ConfigurationEvent::Received { from, message }, now)
+}
+
+fn receive(state: &mut ConfigurationState, version: u64, text: &str) -> Vec<ConfigurationEffect> {
+    receive_at(state, (version, whole(text)), &[], START)
+}
+
+fn applied(effects: &[ConfigurationEffect]) -> Option<(u64, &str)> {
+    effects.iter().find_map(|effect| match effect {
+        ConfigurationEffect::Apply { version, text } => Some((version.get(), text.as_ref())),
+        _ => None,
+    })
+}
+
+fn asks(effects: &[ConfigurationEffect]) -> bool {
+    effects.iter().any(|effect| {
+        matches!(
+            effect,
+            ConfigurationEffect::Send {
+                message: ConfigurationMessage::Request { .. },
+                ..
+            }
+        )
+    })
+}
+
+fn put_in_force(state: &mut ConfigurationState, version: u64) -> Vec<ConfigurationEffect> {
+    let version = ObjectVersion::new(version);
+    reduce(state, ConfigurationEvent::Applied { version }, START)
+}
+
+fn keep(state: &mut ConfigurationState, number: u8, recorded: Option<u64>) {
+    let message = ConfigurationMessage::Withdrawals {
+        entries: vec![WithdrawalEntry {
+            key: key(number),
+            recorded: recorded.map(ObjectVersion::new),
+        }],
+        subtree: Vec::new(),
+    };
+    let from = vm("vm-2");
+    reduce(state, ConfigurationEvent::Received { from, message }, START);
+}
+
+fn withdraw(state: &mut ConfigurationState, number: u8) -> Vec<ConfigurationEffect> {
+    let event = ConfigurationEvent::WithdrawalAsked {
+        request: 1,
+        keys: vec![key(number)],
+    };
+    reduce(state, event, START)
+}
+
+/// Answers each lookup as a configuration without the key does.
+fn look_up(state: &mut ConfigurationState, version: u64, effects: &[ConfigurationEffect]) {
+    for effect in effects {
+        if let ConfigurationEffect::CheckKeys { keys } = effect {
+            let event = ConfigurationEvent::KeysChecked {
+                version: ObjectVersion::new(version),
+                asked: keys.clone(),
+                present: Vec::new(),
+            };
+            reduce(state, event, START);
+        }
+    }
+}
+
+#[test]
+fn an_older_version_never_replaces_a_newer_one() {
+    for (mutation, reverts) in [
+        (ConfigurationMutation::None, false),
+        (ConfigurationMutation::AcceptOlder, true),
+    ] {
+        let mut state = state(settings(mutation));
+        assert_eq!(applied(&receive(&mut state, 9, "new")), Some((9, "new")));
+        let effects = receive(&mut state, 8, "old");
+        assert_eq!(applied(&effects).is_some(), reverts, "{mutation:?}");
+    }
+}
+
+#[test]
+fn a_text_that_does_not_match_its_digest_is_asked_for_again() {
+    for (mutation, applies) in [
+        (ConfigurationMutation::None, false),
+        (ConfigurationMutation::SkipDigestCheck, true),
+    ] {
+        let mut state = state(settings(mutation));
+        let update = ContentUpdate::Whole {
+            text: "damaged".into(),
+            digest: ContentDigest::of("sound"),
+        };
+        let effects = receive_at(&mut state, (3, update), &[], START);
+        assert_eq!(applied(&effects).is_some(), applies, "{mutation:?}");
+        assert_eq!(asks(&effects), !applies);
+    }
+}
+
+#[test]
+fn a_difference_gives_the_new_text_from_its_base_only() {
+    let texts = [
+        "",
+        "ab",
+        "añb",
+        "añño",
+        "{\"r\":10}",
+        "{\"r\":1210}",
+        "aaaa",
+        "aa",
+    ];
+    for before in texts {
+        for after in texts {
+            let delta = ContentDelta::between(ObjectVersion::new(1), before, after).unwrap();
+            assert_eq!(delta.apply(before).as_deref(), Some(after));
+            assert_eq!(delta.apply("other"), None);
+        }
+    }
+}
+
+#[test]
+fn an_update_is_passed_on_in_a_tree_that_misses_nobody() {
+    let members: Vec<VmId> = (10..107)
+        .map(|number| vm(&format!("vm-{number}")))
+        .collect();
+    let mut waiting = vec![(vm("vm-1"), members)];
+    let mut reached = BTreeSet::new();
+    while let Some((own, subtree)) = waiting.pop() {
+        assert!(reached.insert(own), "each VM receives the update once");
+        let mut state = sound();
+        let effects = receive_at(&mut state, (3, whole("text")), &subtree, START);
+        let before = waiting.len();
+        for effect in effects {
+            if let ConfigurationEffect::Send {
+                to,
+                message: ConfigurationMessage::Update { subtree, .. },
+            } = effect
+            {
+                waiting.push((to, subtree));
+            }
+        }
+        assert!(waiting.len() <= before + 8);
+    }
+    assert_eq!(reached.len(), 98);
+}
+
+#[test]
+fn a_vm_that_starts_waits_for_the_newest_version() {
+    for (mutation, waits) in [
+        (ConfigurationMutation::None, true),
+        (ConfigurationMutation::ApplyFirstHeard, false),
+    ] {
+        let mut state = state(settings(mutation));
+        let early = LocalTime::ORIGIN;
+        let effects = receive_at(&mut state, (3, whole("old")), &[], early);
+        assert_eq!(applied(&effects).is_none(), waits, "{mutation:?}");
+        let found = VersionedObject {
+            version: ObjectVersion::new(4),
+            value: "new".into(),
+        };
+        let event = ConfigurationEvent::ContentRead(ReadReply::Found(found));
+        let effects = reduce(&mut state, event, early);
+        assert_eq!(applied(&effects), Some((4, "new")));
+    }
+}
+
+#[test]
+fn a_vm_that_starts_takes_a_peers_version_when_the_platform_is_away() {
+    let mut state = sound();
+    let event = ConfigurationEvent::ContentRead(ReadReply::Unavailable);
+    reduce(&mut state, event, LocalTime::ORIGIN);
+    assert_eq!(applied(&receive(&mut state, 3, "text")), Some((3, "text")));
+}
+
+#[test]
+fn a_refused_version_leaves_the_one_before_in_force() {
+    let mut state = sound();
+    receive(&mut state, 3, "text");
+    put_in_force(&mut state, 3);
+    receive(&mut state, 4, "nonsense");
+    let version = ObjectVersion::new(4);
+    reduce(&mut state, ConfigurationEvent::Refused { version }, START);
+    let status = state.status(START);
+    assert_eq!(status.in_force, Some(ObjectVersion::new(3)));
+    assert_eq!(status.refused, Some(version));
+}
+
+#[test]
+fn a_gap_is_repaired_from_a_peers_digest() {
+    let mut peer = sound();
+    receive(&mut peer, 5, "text");
+    let digest = peer.digest(START);
+    for (mutation, repairs) in [
+        (ConfigurationMutation::None, true),
+        (ConfigurationMutation::SkipRepair, false),
+    ] {
+        let mut state = state(settings(mutation));
+        let event = ConfigurationEvent::PeerDigest {
+            from: vm("vm-2"),
+            digest: digest.clone(),
+        };
+        let effects = reduce(&mut state, event, START);
+        assert_eq!(asks(&effects), repairs, "{mutation:?}");
+    }
+}
+
+#[test]
+fn a_key_is_not_forgotten_by_a_configuration_older_than_its_record() {
+    for (mutation, is_kept) in [
+        (ConfigurationMutation::None, true),
+        (ConfigurationMutation::ForgetUnrecorded, false),
+    ] {
+        let mut state = state(settings(mutation));
+        // Version 3 lacks the key because the key was given later.
+        receive(&mut state, 3, "text");
+        put_in_force(&mut state, 3);
+        let effects = withdraw(&mut state, 7);
+        assert!(effects.contains(&ConfigurationEffect::KeyWithdrawn { key: key(7) }));
+        look_up(&mut state, 3, &effects);
+        assert_eq!(state.withdrawn().contains(&key(7)), is_kept, "{mutation:?}");
+    }
+}
+
+#[test]
+fn a_recorded_key_is_forgotten_by_a_later_configuration() {
+    let mut state = sound();
+    withdraw(&mut state, 7);
+    keep(&mut state, 7, Some(10));
+    for (version, is_kept) in [(9, true), (11, false)] {
+        receive(&mut state, version, "text");
+        let effects = put_in_force(&mut state, version);
+        look_up(&mut state, version, &effects);
+        assert_eq!(state.withdrawn().contains(&key(7)), is_kept);
+    }
+}
+
+#[test]
+fn a_lost_answer_about_the_record_is_read_again() {
+    let mut state = sound();
+    reduce(
+        &mut state,
+        ConfigurationEvent::RelayChanged { active: true },
+        START,
+    );
+    let listed = WatchAnswer::Changes {
+        version: ObjectVersion::new(4),
+        changes: Vec::new(),
+    };
+    reduce(&mut state, ConfigurationEvent::RecordWatched(listed), START);
+    withdraw(&mut state, 7);
+    let effects = reduce(&mut state, ConfigurationEvent::Tick, START);
+    let record = effects.into_iter().find_map(|effect| match effect {
+        ConfigurationEffect::StoreRecord { record, .. } => Some(record),
+        _ => None,
+    });
+    let lost = ConfigurationEvent::RecordStored(StoreReply::Unknown);
+    reduce(&mut state, lost, START);
+    let effects = reduce(&mut state, ConfigurationEvent::Tick, START);
+    assert!(effects.contains(&ConfigurationEffect::ReadRecord));
+    let found = VersionedObject {
+        version: ObjectVersion::new(6),
+        value: record.unwrap(),
+    };
+    let read = ConfigurationEvent::RecordRead(ReadReply::Found(found));
+    reduce(&mut state, read, START);
+    assert_eq!(state.status(START).unrecorded, 0);
+    assert_eq!(state.status(START).withdrawn, 1);
+}
+
+#[test]
+fn withdrawn_keys_merge_to_the_same_set_in_any_order() {
+    let entries = [
+        (1, None),
+        (2, Some(4)),
+        (1, Some(9)),
+        (3, Some(2)),
+        (2, Some(3)),
+    ];
+    let mut first = None;
+    for turn in 0..entries.len() {
+        let mut state = sound();
+        for step in 0..entries.len() {
+            let (number, recorded) = entries[(turn + step) % entries.len()];
+            keep(&mut state, number, recorded);
+        }
+        let digest = state.withdrawn().digest();
+        assert_eq!(*first.get_or_insert(digest), digest);
+    }
+}
+
+#[test]
+fn more_withdrawals_than_the_limit_are_refused() {
+    let mut state = state(ConfigurationSettings {
+        withdrawn_limit: 1,
+        ..ConfigurationSettings::default()
+    });
+    withdraw(&mut state, 1);
+    let effects = withdraw(&mut state, 2);
+    let refused = ConfigurationEffect::WithdrawalRefused {
+        request: 1,
+        limit: 1,
+    };
+    assert!(effects.contains(&refused));
+    assert!(!state.withdrawn().contains(&key(2)));
+}
+
+#[test]
+fn a_cut_off_vm_keeps_or_refuses_keys_as_set() {
+    let limit = TimeSpan::from_secs(60);
+    for (cut_off, deadline) in [
+        (CutOffPolicy::KeepServing, LocalTime::NEVER),
+        (CutOffPolicy::RefuseAfter(limit), START + limit),
+    ] {
+        let mut state = state(ConfigurationSettings {
+            cut_off,
+            ..ConfigurationSettings::default()
+        });
+        let effects = receive(&mut state, 3, "text");
+        assert!(effects.contains(&ConfigurationEffect::AcceptKeys { deadline }));
+    }
+}
