--- a/crates/clementinepond_decide/src/crash/guard.rs
+++ b/crates/clementinepond_decide/src/crash/guard.rs
@@ -173,7 +173,7 @@
     fate: LossFate,
     now: LocalTime,
 ) -> Vec<CrashEffect> {
-    if !state.losses.merge(loss, fate, &state.settings, now) {
+    if !state.losses.merge(loss, fate, now) {
         return Vec::new();
     }
     state.news.losses.push(LossReport {
@@ -266,9 +266,7 @@
         touched.push(report.fingerprint);
     }
     for report in losses {
-        state
-            .losses
-            .merge(&report.loss, report.fate, &state.settings, now);
+        state.losses.merge(&report.loss, report.fate, now);
         if report.fate == LossFate::Alive {
             state.suspects.forget_loss(&report.loss);
         }
--- a/crates/clementinepond_decide/src/crash/loss.rs
+++ b/crates/clementinepond_decide/src/crash/loss.rs
@@ -35,7 +35,6 @@
 pub(crate) struct LossEntry {
     pub(crate) fate: LossFate,
     pub(crate) broken_at: LocalTime,
-    pub(crate) judged_at: LocalTime,
     /// Whether a refused request explains the loss, for the endpoint's record.
     ///
     /// The other requests that were there stay suspects until they complete,
@@ -48,7 +47,6 @@
         Self {
             fate,
             broken_at: now,
-            judged_at: now,
             explained: false,
         }
     }
@@ -62,29 +60,20 @@
 
 impl LossTable {
     /// Merges knowledge of a loss; returns whether it was news.
-    pub(crate) fn merge(
-        &mut self,
-        loss: &EndpointLoss,
-        fate: LossFate,
-        settings: &CrashSettings,
-        now: LocalTime,
-    ) -> bool {
+    pub(crate) fn merge(&mut self, loss: &EndpointLoss, fate: LossFate, now: LocalTime) -> bool {
         let Some(entry) = self.entries.get_mut(loss) else {
             self.entries.insert(loss.clone(), LossEntry::new(fate, now));
             return true;
         };
-        // A process that answered again can break anew, but old news of the
-        // first break must not count.
-        let is_dismissed = entry.fate == LossFate::Alive;
-        let breaks_anew = is_dismissed && now >= entry.judged_at + settings.pending_limit;
-        if breaks_anew && fate < LossFate::Alive {
+        // A process that answered can break anew. If this is old news of its
+        // first break, the next report dismisses it again.
+        if entry.fate == LossFate::Alive && fate == LossFate::Pending {
             *entry = LossEntry::new(fate, now);
             return true;
         }
         let is_news = fate > entry.fate;
         if is_news {
             entry.fate = fate;
-            entry.judged_at = now;
         }
         is_news
     }
--- a/crates/clementinepond_decide/src/crash/permit.rs
+++ b/crates/clementinepond_decide/src/crash/permit.rs
@@ -141,9 +141,14 @@
     let (losses, settings) = (&state.losses, &state.settings);
     let crashes = |endpoint: &EndpointId| losses.own_crashes(endpoint);
     let is_likely = state.suspects.is_likely(fingerprint, losses, settings);
+    let answering: Vec<EndpointId> = candidates
+        .iter()
+        .filter(|endpoint| losses.pending_at(endpoint).is_empty())
+        .cloned()
+        .collect();
     let chosen = state
         .permits
-        .choose(fingerprint, candidates, is_likely, crashes, settings);
+        .choose(fingerprint, &answering, is_likely, crashes, settings);
     let Some(endpoint) = chosen else {
         return PermitReply::Wait;
     };
--- a/crates/clementinepond_decide/src/crash/settings.rs
+++ b/crates/clementinepond_decide/src/crash/settings.rs
@@ -103,7 +103,7 @@
             permit_limit: TimeSpan::from_secs(5),
             sound_lifetime: TimeSpan::from_secs(600),
             sound_limit: 8_192,
-            arbiter_wait: TimeSpan::from_millis(500),
+            arbiter_wait: TimeSpan::from_secs(2),
             resend_interval: TimeSpan::from_millis(200),
             announce_gap: TimeSpan::from_millis(10),
             store_gap: TimeSpan::from_secs(1),
