--- a/crates/clementinepond_decide/src/crash/guard.rs
+++ b/crates/clementinepond_decide/src/crash/guard.rs
@@ -30,7 +30,13 @@
         clear(state, fingerprint, now);
         state.soundness.note(fingerprint, &state.settings, now);
     }
-    permit::over(state, ticket)
+    let mut effects = Vec::new();
+    if state.verdicts.is_refused(fingerprint, now) {
+        // A copy that was in flight at the verdict disproves it.
+        effects.extend(release(state, fingerprint, now));
+    }
+    effects.extend(permit::over(state, ticket));
+    effects
 }
 
 fn clear(state: &mut CrashState, fingerprint: RequestFingerprint, now: LocalTime) {
--- a/crates/clementinepond_decide/src/crash/message.rs
+++ b/crates/clementinepond_decide/src/crash/message.rs
@@ -90,5 +90,9 @@
     RunOver {
         /// Run.
         ticket: CrashTicket,
+        /// What the sender holds against the request.
+        suspects: Vec<SuspectReport>,
+        /// What the sender knows of the losses.
+        losses: Vec<LossReport>,
     },
 }
--- a/crates/clementinepond_decide/src/crash/permit.rs
+++ b/crates/clementinepond_decide/src/crash/permit.rs
@@ -139,6 +139,9 @@
         Standing::Suspect => {}
     }
     let (losses, settings) = (&state.losses, &state.settings);
+    if !state.suspects.is_settled(fingerprint, settings, now) {
+        return PermitReply::Wait;
+    }
     let crashes = |endpoint: &EndpointId| losses.own_crashes(endpoint);
     let is_likely = state.suspects.is_likely(fingerprint, losses, settings);
     let answering: Vec<EndpointId> = candidates
@@ -199,7 +202,7 @@
             // The run was given up before its permit came.
             PermitReply::Run(_) if !known => vec![CrashEffect::Send {
                 to: from,
-                message: CrashMessage::RunOver { ticket },
+                message: run_over_message(state, ticket, None),
             }],
             _ => Vec::new(),
         };
@@ -225,7 +228,7 @@
                 // The arbiter did not know of the latest loss yet.
                 let mut effects = vec![CrashEffect::Send {
                     to: from,
-                    message: CrashMessage::RunOver { ticket },
+                    message: run_over_message(state, ticket, Some(fingerprint)),
                 }];
                 effects.extend(advance(state, ticket, now));
                 return effects;
@@ -356,9 +359,25 @@
     serve_waiters(state, now)
 }
 
+fn run_over_message(
+    state: &CrashState,
+    ticket: CrashTicket,
+    fingerprint: Option<RequestFingerprint>,
+) -> CrashMessage {
+    let suspects = fingerprint.map_or_else(Vec::new, |one| state.suspects.reports(one));
+    let open = fingerprint.map_or_else(Vec::new, |one| state.suspects.open_losses(one));
+    CrashMessage::RunOver {
+        ticket,
+        suspects,
+        losses: state.losses.reports(&open),
+    }
+}
+
 /// Ends a run and frees its endpoint.
 pub(crate) fn over(state: &mut CrashState, ticket: CrashTicket) -> Vec<CrashEffect> {
-    let counted = match state.runs.remove(&ticket) {
+    let run = state.runs.remove(&ticket);
+    let fingerprint = run.as_ref().map(RunEntry::fingerprint);
+    let counted = match run {
         None => false,
         Some(RunEntry::InFlight(run)) => run.stage.announced,
         Some(RunEntry::Waiting(_) | RunEntry::Permitted(_)) => true,
@@ -367,7 +386,7 @@
         return Vec::new();
     }
     state.news.occupied_changed = true;
-    let message = CrashMessage::RunOver { ticket };
+    let message = run_over_message(state, ticket, fingerprint);
     let arbiter = state.arbiter();
     let mut effects = Vec::new();
     if arbiter != state.vm {
--- a/crates/clementinepond_decide/src/crash/reduce.rs
+++ b/crates/clementinepond_decide/src/crash/reduce.rs
@@ -113,7 +113,16 @@
             fingerprint,
             endpoint,
         } => permit::running(state, from, ticket, fingerprint, endpoint, now),
-        CrashMessage::RunOver { ticket } => permit::run_over(state, from, ticket, now),
+        CrashMessage::RunOver {
+            ticket,
+            suspects,
+            losses,
+        } => {
+            // The next copy must not run before the end of this one is known.
+            let mut effects = guard::announced(state, losses, suspects, Vec::new(), now);
+            effects.extend(permit::run_over(state, from, ticket, now));
+            effects
+        }
     }
 }
 
--- a/crates/clementinepond_decide/src/crash/settings.rs
+++ b/crates/clementinepond_decide/src/crash/settings.rs
@@ -64,6 +64,8 @@
     pub pending_limit: TimeSpan,
     /// Time for which a permit stands without renewal.
     pub permit_limit: TimeSpan,
+    /// Wait for reports of other copies before the first permit of a suspect.
+    pub report_wait: TimeSpan,
     /// Time for which a completed run speaks for its request.
     pub sound_lifetime: TimeSpan,
     /// Most completed requests that are remembered.
@@ -101,6 +103,7 @@
             verdict_lifetime: TimeSpan::from_secs(86_400),
             pending_limit: TimeSpan::from_secs(10),
             permit_limit: TimeSpan::from_secs(5),
+            report_wait: TimeSpan::from_millis(30),
             sound_lifetime: TimeSpan::from_secs(600),
             sound_limit: 8_192,
             arbiter_wait: TimeSpan::from_secs(2),
--- a/crates/clementinepond_decide/src/crash/suspect.rs
+++ b/crates/clementinepond_decide/src/crash/suspect.rs
@@ -22,6 +22,8 @@
 pub(crate) struct SuspectEntry {
     pub(crate) losses: BTreeMap<EndpointLoss, SuspectLoss>,
     pub(crate) expiry: LocalTime,
+    /// Moment of the first loss that this VM learned of.
+    since: LocalTime,
 }
 
 /// Standing of a request.
@@ -58,6 +60,7 @@
         let entry = self.entries.entry(fingerprint).or_insert(SuspectEntry {
             losses: BTreeMap::new(),
             expiry,
+            since: now,
         });
         let mut is_news = false;
         let held = entry.losses.entry(loss.clone()).or_insert_with(|| {
@@ -108,6 +111,7 @@
         let entry = self.entries.entry(fingerprint).or_insert(SuspectEntry {
             losses: BTreeMap::new(),
             expiry,
+            since: now,
         });
         let mut is_news = false;
         for loss in losses {
@@ -162,6 +166,17 @@
         self.entries.len()
     }
 
+    /// Returns whether other VMs had time to report runs of a request.
+    pub(crate) fn is_settled(
+        &self,
+        fingerprint: RequestFingerprint,
+        settings: &CrashSettings,
+        now: LocalTime,
+    ) -> bool {
+        let entry = self.entries.get(&fingerprint);
+        entry.is_none_or(|entry| now >= entry.since + settings.report_wait)
+    }
+
     /// Returns whether a request is a likely culprit.
     ///
     /// It is if it had run for a short time at a loss that no refused request
