--- a/crates/clementinepond_decide/src/limit/slice.rs
+++ b/crates/clementinepond_decide/src/limit/slice.rs
@@ -47,6 +47,8 @@
 pub(super) struct PartRights {
     pub(super) vm: VmId,
     pub(super) fraction: PartFraction,
+    /// Whether grants of an earlier process of this VM have lapsed.
+    pub(super) is_usable: bool,
     pub(super) lent: Vec<LentParts>,
     pub(super) borrowed: BTreeMap<VmId, BorrowedParts>,
     pub(super) rosters: BTreeMap<u64, MemberList>,
@@ -80,6 +82,7 @@
         Self {
             vm,
             fraction: PartFraction::ZERO,
+            is_usable: false,
             lent: Vec::new(),
             borrowed: BTreeMap::new(),
             rosters: BTreeMap::new(),
@@ -161,7 +164,8 @@
                 let most = self.fraction.of_burst(limit.burst);
                 (PartFraction::ZERO, kept.min(most))
             }
-            _ => (self.fraction, TokenCount::ZERO),
+            _ if self.is_usable => (self.fraction, TokenCount::ZERO),
+            _ => (PartFraction::ZERO, TokenCount::ZERO),
         }
     }
 
@@ -200,6 +204,29 @@
         LocalTime::ORIGIN
     }
 
+    /// Returns the capacity that lasts at least until `moment`.
+    pub(super) fn assured_amount(
+        &self,
+        id: &AccountId,
+        account: &AccountState,
+        moment: LocalTime,
+        settings: &LimitSettings,
+    ) -> TokenCount {
+        let Some(limit) = account.limit else {
+            return TokenCount::ZERO;
+        };
+        let (mut fraction, mut tokens) = self.own(id, account, limit, settings);
+        let mut withheld = TokenCount::ZERO;
+        for piece in self.pieces(id, account) {
+            if piece.deadline >= moment {
+                fraction = fraction.plus(piece.fraction);
+                withheld += piece.kept;
+                tokens += piece.tokens;
+            }
+        }
+        tokens + fraction.of_burst(limit.burst).saturating_sub(withheld)
+    }
+
     /// Lists borrowed capacity, the longest-lived first.
     fn pieces(&self, id: &AccountId, account: &AccountState) -> Vec<CapacityPiece> {
         let parts = self
--- a/crates/clementinepond_decide/src/plan/writing.rs
+++ b/crates/clementinepond_decide/src/plan/writing.rs
@@ -11,6 +11,9 @@
 /// Part of the lease after which it is renewed.
 const RENEWAL_PART: u64 = 3;
 
+/// Goals that the object keeps for the next holder's operators.
+const WRITTEN_GOALS: usize = 16;
+
 /// Returns the time between two model loads of this data centre.
 pub(super) fn load_interval(state: &PlanState) -> TimeSpan {
     let hourly = u64::from(state.catalogue.share.loads_an_hour.max(1));
@@ -18,15 +21,11 @@
 }
 
 /// Returns whether orders may go to an endpoint in this phase.
+///
+/// Endpoints that check fencing wait as the others do: one that restarts
+/// forgets the largest fencing number it has seen.
 pub(super) fn may_order(phase: &LeasePhase, entry: &EndpointEntry) -> bool {
-    let Some(spec) = entry.spec else {
-        return false;
-    };
-    match phase {
-        LeasePhase::Holding(_) => true,
-        LeasePhase::Waiting(_) => spec.checks_fencing,
-        LeasePhase::Follower(_) | LeasePhase::Acquiring(_) => false,
-    }
+    entry.spec.is_some() && matches!(phase, LeasePhase::Holding(_))
 }
 
 /// Reserves for an order, which waits until its intent is written.
@@ -96,7 +95,7 @@
         arrival_margin: term.arrival_margin,
         order_span: term.order_span,
         orders,
-        goals: state.goals.clone(),
+        goals: state.goals.iter().take(WRITTEN_GOALS).cloned().collect(),
     };
     let if_version = term.version;
     term.write = Some(PendingWrite {
@@ -167,7 +166,8 @@
 /// Returns the fencing number and the deadline of an order that leaves now.
 fn authority(state: &PlanState, now: LocalTime) -> Option<(FencingNumber, LocalTime)> {
     let term = state.phase.term()?;
-    if now >= term.deadline {
+    // A release may have landed although its answer has not come yet.
+    if now >= term.deadline || state.releasing {
         return None;
     }
     if state.settings.mutated(PlanMutation::OrdersWithoutDeadline) {
