--- a/crates/clementinepond_decide/src/crash/guard.rs
+++ b/crates/clementinepond_decide/src/crash/guard.rs
@@ -30,7 +30,13 @@
         clear(state, fingerprint, now);
         state.soundness.note(fingerprint, &state.settings, now);
     }
-    permit::over(state, ticket)
+    let mut effects = Vec::new();
+    if state.verdicts.is_refused(fingerprint, now) {
+        // A copy that was in flight at the verdict disproves it.
+        effects.extend(release(state, fingerprint, now));
+    }
+    effects.extend(permit::over(state, ticket));
+    effects
 }
 
 fn clear(state: &mut CrashState, fingerprint: RequestFingerprint, now: LocalTime) {
@@ -173,7 +179,7 @@
     fate: LossFate,
     now: LocalTime,
 ) -> Vec<CrashEffect> {
-    if !state.losses.merge(loss, fate, &state.settings, now) {
+    if !state.losses.merge(loss, fate, now) {
         return Vec::new();
     }
     state.news.losses.push(LossReport {
@@ -266,9 +272,7 @@
         touched.push(report.fingerprint);
     }
     for report in losses {
-        state
-            .losses
-            .merge(&report.loss, report.fate, &state.settings, now);
+        state.losses.merge(&report.loss, report.fate, now);
         if report.fate == LossFate::Alive {
             state.suspects.forget_loss(&report.loss);
         }
