--- a/crates/clementinepond_decide/src/limit/loan.rs
+++ b/crates/clementinepond_decide/src/limit/loan.rs
@@ -170,6 +170,15 @@
     };
     record(state, lent, now);
     outbox.lend_parts(from, loan);
+    poll_along(state, from, now, outbox);
+}
+
+/// Sends this VM's own poll along with a loan when it is due soon.
+fn poll_along(state: &mut LimitState, vm: &VmId, now: LocalTime, outbox: &mut EffectOutbox) {
+    let soon = now + state.poll_interval().fraction(1, 2);
+    if state.polls.get(vm).is_some_and(|poll| poll.next_at <= soon) {
+        poll(state, vm, now, outbox);
+    }
 }
 
 fn is_stale(state: &LimitState, from: &VmId, poll: &LoanPoll) -> bool {
--- a/crates/clementinepond_measure/src/experiment/limits/fault.rs
+++ b/crates/clementinepond_measure/src/experiment/limits/fault.rs
@@ -18,7 +18,9 @@
         match kind {
             FaultKind::Pause { vm, span } => {
                 let host = &mut self.vms[vm];
-                host.paused_until = host.paused_until.max(self.now + span);
+                if host.paused_until <= self.now {
+                    host.paused_until = self.now + span;
+                }
             }
             FaultKind::Isolate { vm, span } => {
                 let host = &mut self.vms[vm];
