--- a/crates/clementinepond_decide/src/limit/periodic.rs
+++ b/crates/clementinepond_decide/src/limit/periodic.rs
@@ -4,7 +4,7 @@
 use super::loan;
 use super::outbox::EffectOutbox;
 use super::serve;
-use super::settings::LimitSettings;
+use super::settings::{LimitMutation, LimitSettings};
 use super::slice::PartRights;
 use super::state::LimitState;
 use clementinepond_types::{AccountId, LocalTime, TimeSpan, TokenCount, VmId};
@@ -130,7 +130,9 @@
 /// Returns whether nothing of this VM is in other hands, or theirs in its.
 fn is_free(state: &LimitState) -> bool {
     let is_settled = |account: &AccountState| account.lent.is_empty() && account.queue.is_empty();
-    state.rights.lent.is_empty()
+    let is_waited = state.is_started() || state.settings.has(LimitMutation::ReleaseEarly);
+    is_waited
+        && state.rights.lent.is_empty()
         && state.tickets.is_empty()
         && state.accounts.values().all(is_settled)
 }
--- a/crates/clementinepond_decide/src/limit/reduce.rs
+++ b/crates/clementinepond_decide/src/limit/reduce.rs
@@ -34,11 +34,21 @@
         LimitEvent::PartsChanged(view) => change_parts(state, view, now, &mut outbox),
         LimitEvent::AccountsChanged(table) => change_accounts(state, table, now, &mut outbox),
         LimitEvent::Tick => periodic::tick(state, now, &mut outbox),
-        LimitEvent::Release => state.releasing = true,
+        LimitEvent::Release => release(state, now),
     }
     outbox.flush(state, now)
 }
 
+/// Stops lending; an earlier process of this VM may have lent before.
+fn release(state: &mut LimitState, now: LocalTime) {
+    state.releasing = true;
+    if state.start_wait == StartWait::Unknown {
+        let members = state.rights.members().map_or(1, MemberList::len);
+        let wait = state.settings.longest_grant(members);
+        state.start_wait = StartWait::Until(now + wait);
+    }
+}
+
 fn receive(
     state: &mut LimitState,
     from: &VmId,
--- a/crates/clementinepond_decide/src/limit/settings.rs
+++ b/crates/clementinepond_decide/src/limit/settings.rs
@@ -38,6 +38,8 @@
     ForgetEarlierRoster,
     /// A restarted VM uses its slice at once.
     SkipStartWait,
+    /// A restarted VM that leaves does not wait for its earlier grants.
+    ReleaseEarly,
     /// A restarted lender extends what its earlier process lent.
     TrustRestartedLender,
     /// An older table of accounts replaces a newer one.
--- a/crates/clementinepond_decide/tests/limit.rs
+++ b/crates/clementinepond_decide/tests/limit.rs
@@ -67,8 +67,8 @@
 }
 
 impl SmallFleet {
-    /// Starts `count` data centres with equal shares and full buckets.
-    fn start(count: usize, mutation: LimitMutation) -> Self {
+    /// Launches `count` data centres with equal shares.
+    fn launch(count: usize, mutation: LimitMutation) -> Self {
         let settings = LimitSettings {
             clock_drift_ppm: 0,
             mutation,
@@ -100,6 +100,12 @@
             fleet.tell(index, LimitEvent::PartsChanged(view));
             fleet.tell(index, table(1, 100, 1_000));
         }
+        fleet
+    }
+
+    /// Lets the start wait pass and the buckets fill.
+    fn start(count: usize, mutation: LimitMutation) -> Self {
+        let mut fleet = Self::launch(count, mutation);
         fleet.pass(30 * SECOND);
         fleet
     }
@@ -302,3 +308,16 @@
     fleet.pass(12 * SECOND);
     assert!(fleet.take_effects().contains(&LimitEffect::Released));
 }
+
+fn is_released_at_start(mutation: LimitMutation) -> bool {
+    let mut fleet = SmallFleet::launch(1, mutation);
+    fleet.tell(0, LimitEvent::Release);
+    fleet.pass(SECOND);
+    fleet.take_effects().contains(&LimitEffect::Released)
+}
+
+#[test]
+fn a_restarted_vm_leaves_after_its_earlier_grants_have_lapsed() {
+    assert!(!is_released_at_start(LimitMutation::None));
+    assert!(is_released_at_start(LimitMutation::ReleaseEarly));
+}
