--- a/crates/clementinepond_decide/src/claim/owner/granting.rs
+++ b/crates/clementinepond_decide/src/claim/owner/granting.rs
@@ -119,6 +119,7 @@
         let oldest = stage
             .settled
             .iter()
+            .filter(|(_, record)| !record.dated)
             .min_by_key(|(_, record)| record.forget_at)
             .map(|(key, _)| *key);
         if let Some(key) = oldest {
--- a/crates/clementinepond_measure/src/experiment/claims/scenario.rs
+++ b/crates/clementinepond_measure/src/experiment/claims/scenario.rs
@@ -115,6 +115,27 @@
         }
     }
 
+    /// A run whose shards fill up and whose dated keys grow old.
+    #[must_use]
+    pub fn tight(seed: u64, calls_per_second: u64, arrivals: TimeSpan) -> Self {
+        let settings = ClaimSettings {
+            shard_count: 4,
+            ask_limit: TimeSpan::from_secs(5),
+            dated_retention: TimeSpan::from_secs(3),
+            clock_margin: TimeSpan::from_millis(100),
+            commit_interval: TimeSpan::from_secs(1),
+            object_limit: 20_000,
+            answer_budget: 2_000,
+            ..ClaimSettings::default()
+        };
+        Self {
+            drain: TimeSpan::from_secs(20),
+            repeats: 700,
+            settings,
+            ..Self::calm(seed, calls_per_second, arrivals)
+        }
+    }
+
     /// The same run with one guard off.
     #[must_use]
     pub fn mutated(mut self, mutation: ClaimMutation) -> Self {
