--- a/crates/clementinepond_decide/src/configuration/message.rs
+++ b/crates/clementinepond_decide/src/configuration/message.rs
@@ -1,6 +1,6 @@
 //! Messages between VMs about the configuration.
 
-use super::{ContentDelta, ContentDigest, WithdrawalEntry};
+use super::{ContentDelta, ContentDigest, WithdrawalEntry, WithdrawnDigest};
 use clementinepond_types::{ObjectVersion, VmId};
 use serde::{Deserialize, Serialize};
 
@@ -47,6 +47,9 @@
         /// The keys.
         entries: Vec<WithdrawalEntry>,
     },
-    /// Asks for all withdrawn keys.
-    WithdrawalsRequest,
+    /// Asks for the withdrawn keys of groups that differ.
+    WithdrawalsRequest {
+        /// Digest of each group that the sender has.
+        groups: Vec<WithdrawnDigest>,
+    },
 }
--- a/crates/clementinepond_decide/src/configuration/reduce.rs
+++ b/crates/clementinepond_decide/src/configuration/reduce.rs
@@ -90,8 +90,8 @@
         ConfigurationMessage::WithdrawalsKept { entries } => {
             withdrawal::kept(state, &from, &entries);
         }
-        ConfigurationMessage::WithdrawalsRequest => {
-            withdrawal::answer_request(state, from, effects);
+        ConfigurationMessage::WithdrawalsRequest { groups } => {
+            withdrawal::answer_request(state, from, &groups, effects);
         }
     }
 }
--- a/crates/clementinepond_decide/src/configuration/withdrawal.rs
+++ b/crates/clementinepond_decide/src/configuration/withdrawal.rs
@@ -8,7 +8,7 @@
 use super::watch::CallStage;
 use super::{
     ConfigurationDigest, ConfigurationEffect, ConfigurationMessage, ConfigurationMutation,
-    ConfigurationState, WithdrawalEntry, WithdrawalRecord,
+    ConfigurationState, WithdrawalEntry, WithdrawalRecord, WithdrawnDigest,
 };
 use crate::port::{ReadReply, StoreReply, VersionedObject};
 use clementinepond_types::{KeyDigest, LocalTime, ObjectVersion, VmId};
@@ -183,17 +183,20 @@
     state.asked_withdrawals = now + state.settings.retry_period;
     effects.push(ConfigurationEffect::Send {
         to: from.clone(),
-        message: ConfigurationMessage::WithdrawalsRequest,
+        message: ConfigurationMessage::WithdrawalsRequest {
+            groups: state.withdrawn.groups(),
+        },
     });
 }
 
-/// Answers a peer that asks for all withdrawn keys.
+/// Answers a peer with the keys of the groups in which it differs.
 pub(super) fn answer_request(
     state: &ConfigurationState,
     from: VmId,
+    groups: &[WithdrawnDigest],
     effects: &mut Vec<ConfigurationEffect>,
 ) {
-    let entries: Vec<_> = state.withdrawn.iter().collect();
+    let entries = state.withdrawn.differing(groups);
     if !entries.is_empty() {
         send(from, &entries, Vec::new(), effects);
     }
--- a/crates/clementinepond_decide/src/configuration/withdrawn.rs
+++ b/crates/clementinepond_decide/src/configuration/withdrawn.rs
@@ -36,11 +36,15 @@
     pub limit: usize,
 }
 
+/// Groups of keys that VMs compare one by one.
+const GROUP_COUNT: usize = 16;
+
 /// Withdrawn keys and where they are recorded.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct WithdrawnSet {
     entries: BTreeMap<KeyDigest, Option<ObjectVersion>>,
     digest: WithdrawnDigest,
+    groups: [WithdrawnDigest; GROUP_COUNT],
 }
 
 impl WithdrawnSet {
@@ -75,6 +79,30 @@
         self.digest
     }
 
+    /// Returns the digest of each group of keys.
+    #[must_use]
+    pub fn groups(&self) -> Vec<WithdrawnDigest> {
+        self.groups.to_vec()
+    }
+
+    /// Returns the entries of the groups in which a peer differs.
+    pub(super) fn differing(&self, groups: &[WithdrawnDigest]) -> Vec<WithdrawalEntry> {
+        self.iter()
+            .filter(|entry| {
+                let group = group_of(&entry.key);
+                self.groups.get(group) != groups.get(group)
+            })
+            .collect()
+    }
+
+    fn toggle(&mut self, key: &KeyDigest, recorded: Option<ObjectVersion>) {
+        let element = element(key, recorded);
+        self.digest.toggle(&element);
+        if let Some(group) = self.groups.get_mut(group_of(key)) {
+            group.toggle(&element);
+        }
+    }
+
     /// Adds an entry or raises its version; returns whether the set changed.
     pub(super) fn merge(&mut self, entry: WithdrawalEntry) -> bool {
         let known = self.entries.get(&entry.key).copied();
@@ -83,7 +111,7 @@
             return false;
         }
         self.remove(&entry.key);
-        self.digest.toggle(&element(&entry.key, merged));
+        self.toggle(&entry.key, merged);
         self.entries.insert(entry.key, merged);
         true
     }
@@ -91,7 +119,7 @@
     /// Takes a key out of the set.
     pub(super) fn remove(&mut self, key: &KeyDigest) {
         if let Some(recorded) = self.entries.remove(key) {
-            self.digest.toggle(&element(key, recorded));
+            self.toggle(key, recorded);
         }
     }
 
@@ -112,6 +140,11 @@
     }
 }
 
+fn group_of(key: &KeyDigest) -> usize {
+    let [first, ..] = key.bytes();
+    usize::from(*first) % GROUP_COUNT
+}
+
 fn element(key: &KeyDigest, recorded: Option<ObjectVersion>) -> Vec<u8> {
     let version = recorded.map_or(0, ObjectVersion::get);
     [key.bytes().as_slice(), &version.to_le_bytes()].concat()
--- a/crates/clementinepond_decide/src/roster/contact.rs
+++ b/crates/clementinepond_decide/src/roster/contact.rs
@@ -6,8 +6,8 @@
 //! table itself, which makes a remover's conditional update fail, or been in
 //! contact with members for the settle time, which brings it their news.
 
-use super::{ContactRule, RosterMutation, RosterState};
-use clementinepond_types::{LocalTime, PartCount};
+use super::{ContactRule, MembershipStage, RosterMutation, RosterState};
+use clementinepond_types::{LocalTime, PartCount, VmId};
 
 impl RosterState {
     /// Notes that the process runs; detects a pause.
@@ -68,7 +68,7 @@
     }
 
     /// Notes that a peer with no newer table acknowledged a probe.
-    pub(super) fn note_contact(&mut self, vm: &clementinepond_types::VmId, sent: LocalTime) {
+    pub(super) fn note_contact(&mut self, vm: &VmId, sent: LocalTime) {
         let known = self.contacts.entry(vm.clone()).or_insert(sent);
         *known = sent.max(*known);
         self.end_suspension();
@@ -122,7 +122,7 @@
     pub(super) fn is_leaving(&self) -> bool {
         matches!(
             self.stage,
-            super::MembershipStage::Releasing | super::MembershipStage::Released
+            MembershipStage::Releasing | MembershipStage::Released
         )
     }
 }
--- a/crates/clementinepond_decide/src/roster/duty.rs
+++ b/crates/clementinepond_decide/src/roster/duty.rs
@@ -3,7 +3,7 @@
 use super::exchange::relay_candidates;
 use super::state::WatchStage;
 use super::store::adopt_table;
-use super::{ListedVm, RosterEffect, RosterState, RosterTable, WatchAnswer};
+use super::{ListedVm, RosterEffect, RosterState, RosterTable, VmPresence, WatchAnswer};
 use clementinepond_types::{LocalTime, TimeSpan, VmId};
 use std::collections::BTreeSet;
 
@@ -16,6 +16,7 @@
     if active != state.relay {
         state.relay = active;
         state.absent.clear();
+        state.leaving.clear();
         state.next_list = now;
         effects.push(RosterEffect::RelayChanged { active });
     }
@@ -107,6 +108,11 @@
     };
     note_sighting(state, now);
     state.listed = Some(now);
+    state.leaving = list
+        .iter()
+        .filter(|line| line.state == VmPresence::Leaving)
+        .map(|line| line.vm.clone())
+        .collect();
     let listed: BTreeSet<VmId> = list.into_iter().map(|line| line.vm).collect();
     let members: Vec<VmId> = state
         .own_table()
--- a/crates/clementinepond_decide/src/roster/plan.rs
+++ b/crates/clementinepond_decide/src/roster/plan.rs
@@ -194,6 +194,7 @@
     }
     let mut eligible = state.live_members(now);
     eligible.extend(state.joiners.keys().cloned());
+    eligible.retain(|vm| !state.leaving.contains(vm));
     if state.is_leaving() {
         eligible.remove(&state.own.vm);
     } else {
--- a/crates/clementinepond_decide/src/roster/reduce.rs
+++ b/crates/clementinepond_decide/src/roster/reduce.rs
@@ -73,7 +73,6 @@
     if let Some(announced) = &state.announced
         && announced.change == change
     {
-        state.stopped_change = change;
         state.outstanding_parts = announced.parts;
         state.outstanding_share = announced.share;
     }
--- a/crates/clementinepond_decide/tests/configuration.rs
+++ b/crates/clementinepond_decide/tests/configuration.rs
@@ -373,3 +373,32 @@
         assert!(effects.contains(&ConfigurationEffect::AcceptKeys { deadline }));
     }
 }
+
+#[test]
+fn a_peer_receives_the_withdrawn_keys_that_it_lacks() {
+    let mut rich = sound();
+    let mut poor = sound();
+    for number in 1..=40 {
+        keep(&mut rich, number, Some(3));
+        if number != 9 {
+            keep(&mut poor, number, Some(3));
+        }
+    }
+    let message = ConfigurationMessage::WithdrawalsRequest {
+        groups: poor.withdrawn().groups(),
+    };
+    let from = vm("vm-2");
+    let event = ConfigurationEvent::Received { from, message };
+    let sent = reduce(&mut rich, event, START)
+        .into_iter()
+        .find_map(|effect| match effect {
+            ConfigurationEffect::Send {
+                message: ConfigurationMessage::Withdrawals { entries, .. },
+                ..
+            } => Some(entries),
+            _ => None,
+        });
+    let sent = sent.unwrap();
+    assert!(sent.iter().any(|entry| entry.key == key(9)));
+    assert!(sent.len() <= 3, "only the group that differs is sent");
+}
