--- a/crates/clementinepond/src/command/command_line.rs
+++ b/crates/clementinepond/src/command/command_line.rs
@@ -1,10 +1,14 @@
 //! The command line as a whole.
 
 use super::check::CheckOptions;
+use super::demo::DemoCommand;
 use super::digest::DigestOptions;
+use super::load::LoadCommand;
 use super::measure::MeasureOptions;
+use super::model::ModelOptions;
 use super::reference::ReferenceOptions;
 use super::serve::ServeOptions;
+use super::stand_in::StandInOptions;
 use super::status::StatusOptions;
 use gumdrop::Options;
 
@@ -31,6 +35,21 @@
     /// Check a settings file.
     #[options(help = "check a settings file and report every fault")]
     Check(CheckOptions),
+    /// Run a deployment.
+    #[options(help = "run a whole deployment in this process, with callers")]
+    Demo(DemoCommand),
+    /// Run a stand-in.
+    #[options(
+        name = "stand-in",
+        help = "run a stand-in: platform, engine or service"
+    )]
+    StandIn(StandInOptions),
+    /// Send caller traffic.
+    #[options(help = "send caller traffic, open loop")]
+    Load(LoadCommand),
+    /// Explore the specification.
+    #[options(help = "explore the specification of the core protocol exhaustively")]
+    Model(ModelOptions),
     /// Run an experiment.
     #[options(help = "run one experiment in virtual time; 'measure list' names them")]
     Measure(MeasureOptions),
--- a/crates/clementinepond/src/command/mod.rs
+++ b/crates/clementinepond/src/command/mod.rs
@@ -1,13 +1,18 @@
 //! The commands, one a file.
 
+mod assignment;
 mod check;
 mod command_line;
+mod demo;
 mod digest;
 mod error;
+mod load;
 mod measure;
+mod model;
 mod reference;
 mod run;
 mod serve;
+mod stand_in;
 mod status;
 
 pub(crate) use command_line::CommandLine;
--- /dev/null
+++ b/crates/clementinepond/src/command/model.rs
@@ -0,0 +1,80 @@
+//! `model`: explores the specification of the core protocol.
+
+use super::CommandError;
+use crate::output::EXIT_FAILURE;
+use clementinepond_model::{Bounds, SPECIFICATIONS, SpecificationEntry};
+use gumdrop::Options;
+use std::process::ExitCode;
+
+/// Options of `model`.
+#[derive(Debug, Options)]
+pub(crate) struct ModelOptions {
+    /// Print help.
+    #[options(help = "print help")]
+    pub(crate) help: bool,
+    /// Specification.
+    #[options(free, help = "specification to explore, or list; all when absent")]
+    pub(crate) name: Option<String>,
+    /// Whether the larger bounds are explored.
+    #[options(no_short, help = "explore the larger bounds")]
+    pub(crate) large: bool,
+    /// Guard to remove.
+    #[options(
+        no_short,
+        meta = "NAME",
+        help = "remove a guard and show the counterexample"
+    )]
+    pub(crate) mutation: Option<String>,
+}
+
+/// Runs the command.
+pub(crate) fn run(options: &ModelOptions) -> Result<ExitCode, CommandError> {
+    let name = options.name.as_deref();
+    if name == Some("list") {
+        print_list();
+        return Ok(ExitCode::SUCCESS);
+    }
+    let chosen: Vec<&SpecificationEntry> = SPECIFICATIONS
+        .iter()
+        .filter(|entry| name.is_none_or(|name| name == entry.name))
+        .collect();
+    if chosen.is_empty() {
+        return Err(CommandError::usage(
+            "the specification is unknown; 'clementinepond model list' names them",
+        ));
+    }
+    let bounds = if options.large {
+        Bounds::Large
+    } else {
+        Bounds::Small
+    };
+    let mut is_breached = false;
+    for entry in chosen {
+        let report = entry
+            .explore(bounds, options.mutation.as_deref())
+            .map_err(|error| CommandError::usage(&error.to_string()))?;
+        for size in &report.explorations {
+            println!(
+                "{}: bounds {}: {} states, depth {}",
+                entry.name, size.bounds, size.states, size.depth
+            );
+        }
+        match &report.violation {
+            None => println!("{}: every invariant holds", entry.name),
+            Some(counterexample) => {
+                is_breached = true;
+                println!("{}: {counterexample}", entry.name);
+            }
+        }
+    }
+    Ok(ExitCode::from(if is_breached { EXIT_FAILURE } else { 0 }))
+}
+
+fn print_list() {
+    for entry in SPECIFICATIONS {
+        println!("{:16} {}", entry.name, entry.about);
+        for mutation in entry.mutations {
+            println!("    {:28} {}", mutation.name, mutation.about);
+        }
+    }
+}
--- a/crates/clementinepond/src/command/run.rs
+++ b/crates/clementinepond/src/command/run.rs
@@ -1,7 +1,10 @@
 //! Choice of the command.
 
 use super::command_line::Command;
-use super::{CommandError, CommandLine, check, digest, measure, reference, serve, status};
+use super::{
+    CommandError, CommandLine, check, demo, digest, load, measure, model, reference, serve,
+    stand_in, status,
+};
 use gumdrop::Options;
 use std::process::ExitCode;
 
@@ -15,6 +18,10 @@
         None => Err(CommandError::usage(&help())),
         Some(Command::Serve(options)) => serve::run(&options),
         Some(Command::Check(options)) => check::run(&options),
+        Some(Command::Demo(options)) => demo::run(&options),
+        Some(Command::StandIn(options)) => stand_in::run(&options),
+        Some(Command::Load(options)) => load::run(&options),
+        Some(Command::Model(options)) => model::run(&options),
         Some(Command::Measure(options)) => measure::run(&options),
         Some(Command::Status(options)) => status::run(&options),
         Some(Command::Reference(options)) => reference::run(&options),
--- a/crates/clementinepond/src/command/serve.rs
+++ b/crates/clementinepond/src/command/serve.rs
@@ -33,19 +33,25 @@
 
 async fn serve(settings: VmSettings) -> Result<ExitCode, CommandError> {
     let stopping = CancellationToken::new();
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
     let daemon = RunningDaemon::start(settings, stopping.clone()).await?;
     println!(
         "caller={} admin={}",
         daemon.caller_address(),
         daemon.admin_address()
     );
+    wait_for_signal().await?;
+    stopping.cancel();
+    daemon.wait().await;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Waits until the process is told to stop.
+pub(super) async fn wait_for_signal() -> Result<(), CommandError> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
         _ = terminate.recv() => log::info!("event=stop_requested signal=term"),
         _ = interrupt.recv() => log::info!("event=stop_requested signal=int"),
     }
-    stopping.cancel();
-    daemon.wait().await;
-    Ok(ExitCode::SUCCESS)
+    Ok(())
 }
--- a/crates/clementinepond_daemon/src/caller/answer.rs
+++ b/crates/clementinepond_daemon/src/caller/answer.rs
@@ -267,7 +267,7 @@
 /// comment, which every client ignores unless it looks for it.
 fn closing_event(end: &RequestEnd) -> Bytes {
     if matches!(end, RequestEnd::Complete { .. }) {
-        return Bytes::from_static(b": clementinepond-outcome: complete\ndata: [DONE]\n\n");
+        return Bytes::from_static(b": clementinepond-outcome: complete\n\ndata: [DONE]\n\n");
     }
     let error = CallerError::from_end(end);
     let text = format!(
--- a/crates/clementinepond_decide/src/node/settings.rs
+++ b/crates/clementinepond_decide/src/node/settings.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// The upper half of the random number; limits send it in every message.
+    pub(super) const fn limit_incarnation(&self) -> u32 {
+        (self.incarnation >> 32) as u32
+    }
+
     pub(super) const fn claim_incarnation(&self) -> VmIncarnation {
         VmIncarnation::new(self.incarnation)
     }
--- a/crates/clementinepond_decide/src/node/state.rs
+++ b/crates/clementinepond_decide/src/node/state.rs
@@ -77,6 +77,7 @@
     pub fn new(settings: NodeSettings, now: LocalTime) -> Self {
         let identity = settings.identity();
         let incarnation = settings.claim_incarnation();
+        let limit_incarnation = settings.limit_incarnation();
         let vm = settings.vm;
         let data_centre = settings.data_centre;
         Self {
@@ -84,7 +85,7 @@
             routes: RouteTable::new(settings.route, data_centre.clone()),
             roster: RosterState::new(identity, settings.roster, now),
             configuration: ConfigurationState::new(vm.clone(), settings.configuration, now),
-            limit: LimitState::new(settings.limit.clone(), vm.clone(), settings.incarnation),
+            limit: LimitState::new(settings.limit.clone(), vm.clone(), limit_incarnation),
             claim: ClaimState::new(settings.claim, vm.clone(), data_centre.clone(), incarnation),
             crash: CrashState::new(settings.crash, vm.clone()),
             plan: PlanState::new(settings.plan, vm.clone(), data_centre.clone()),
--- /dev/null
+++ b/crates/clementinepond_demo/src/deployment/mod.rs
@@ -0,0 +1,9 @@
+//! The users' deployments and a run of their workloads.
+
+mod demo;
+mod report;
+mod shape;
+
+pub use demo::{DemoOptions, run_demo};
+pub use report::DemoReport;
+pub use shape::Deployment;
--- a/crates/clementinepond_demo/src/fleet/plan.rs
+++ b/crates/clementinepond_demo/src/fleet/plan.rs
@@ -3,7 +3,8 @@
 use clementinepond_settings::fleet::FleetConfiguration;
 use clementinepond_standin::engine::EngineOptions;
 use clementinepond_standin::platform::PlatformOptions;
-use clementinepond_types::{DataCentreId, EndpointId, RouteName};
+use clementinepond_standin::service::ServiceOptions;
+use clementinepond_types::{DataCentreId, RouteName};
 use serde_json::Value;
 use std::collections::BTreeMap;
 
@@ -15,7 +16,7 @@
     /// Model engines and their data centres.
     pub engines: Vec<(DataCentreId, EngineOptions)>,
     /// Plain services, their routes and data centres.
-    pub services: Vec<(DataCentreId, EndpointId, RouteName)>,
+    pub services: Vec<(DataCentreId, RouteName, ServiceOptions)>,
     /// The platform.
     pub platform: PlatformOptions,
     /// Configuration without endpoints and data centres, which are added.
--- a/crates/clementinepond_settings/src/fleet/endpoint_entry.rs
+++ b/crates/clementinepond_settings/src/fleet/endpoint_entry.rs
@@ -40,7 +40,7 @@
 }
 
 /// Route to plain services.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceRoute {
     /// Whether any call may be repeated; GET and HEAD always may.
--- a/crates/clementinepond_standin/src/load/latency_histogram.rs
+++ b/crates/clementinepond_standin/src/load/latency_histogram.rs
@@ -20,6 +20,8 @@
     pub p50: TimeSpan,
     /// 90th percentile.
     pub p90: TimeSpan,
+    /// 95th percentile.
+    pub p95: TimeSpan,
     /// 99th percentile.
     pub p99: TimeSpan,
     /// 99.9th percentile.
@@ -58,6 +60,7 @@
             mean: TimeSpan::from_micros(histogram.mean() as u64),
             p50: at(0.5),
             p90: at(0.9),
+            p95: at(0.95),
             p99: at(0.99),
             p999: at(0.999),
             max: TimeSpan::from_micros(histogram.max()),
