--- a/crates/clementinepond_decide/src/plan/demand.rs
+++ b/crates/clementinepond_decide/src/plan/demand.rs
@@ -1,7 +1,8 @@
 //! Forecast of one model's demand.
 //!
-//! The level follows observations at once on the way up and slowly on the way
-//! down; the trend looks ahead by about the time that a load takes to help.
+//! Level and trend are smoothed; the forecast looks ahead by more than the
+//! time that a load takes to help. What copies carried lately is held, and
+//! decays more slowly.
 
 use super::ComputeLoad;
 use super::planner::PlannerTuning;
@@ -51,7 +52,7 @@
     #[must_use]
     pub fn expected(&self, tuning: &PlannerTuning) -> f64 {
         let ahead = self.level + self.trend_a_second * seconds(tuning.look_ahead.micros());
-        ahead.max(self.level)
+        ahead.max(0.0)
     }
 
     /// Returns the load below which copies count as unused.
--- a/crates/clementinepond_decide/src/plan/planner/tuning.rs
+++ b/crates/clementinepond_decide/src/plan/planner/tuning.rs
@@ -48,9 +48,9 @@
             pipeline: 3,
             free_copies: 1,
             level_time: TimeSpan::from_secs(15),
-            trend_time: TimeSpan::from_secs(60),
+            trend_time: TimeSpan::from_secs(180),
             hold_time: TimeSpan::from_secs(1_800),
-            look_ahead: TimeSpan::from_secs(60),
+            look_ahead: TimeSpan::from_secs(120),
         }
     }
 }
--- a/crates/clementinepond_measure/src/experiment/placement/policy.rs
+++ b/crates/clementinepond_measure/src/experiment/placement/policy.rs
@@ -1,7 +1,7 @@
 //! Policies that are compared.
 
+use clementinepond_decide::plan::PlanSettings;
 use clementinepond_decide::plan::planner::PlannerTuning;
-use clementinepond_decide::plan::{ComputeLoad, PlanSettings};
 use clementinepond_types::TimeSpan;
 
 /// Policy of placement.
@@ -30,13 +30,14 @@
         if self == Self::Greedy {
             settings.tuning = PlannerTuning {
                 headroom_percent: 100,
-                smallest_gain: ComputeLoad::from_milli(1),
-                unload_cost: ComputeLoad::ZERO,
+                smallest_gain_percent: 0,
+                unload_cost_percent: 0,
                 gain_over_loss_percent: 100,
                 level_time: TimeSpan::from_millis(1),
                 trend_time: TimeSpan::from_secs(3_600),
                 hold_time: TimeSpan::from_millis(1),
                 look_ahead: TimeSpan::ZERO,
+                regret_percent: 0,
                 ..settings.tuning
             };
         }
