--- a/crates/clementinepond_decide/src/plan/planner/tuning.rs
+++ b/crates/clementinepond_decide/src/plan/planner/tuning.rs
@@ -40,8 +40,8 @@
         Self {
             headroom_percent: 110,
             interference_percent: 3,
-            smallest_gain_percent: 5,
-            unload_cost_percent: 5,
+            smallest_gain_percent: 3,
+            unload_cost_percent: 4,
             gain_over_loss_percent: 150,
             regret_percent: 5,
             picks: 8,
--- a/crates/clementinepond_measure/src/experiment/placement/planning_time.rs
+++ b/crates/clementinepond_measure/src/experiment/placement/planning_time.rs
@@ -60,7 +60,7 @@
     size.endpoints = models * ENDPOINTS_A_MODEL;
     let workload = Workload::new(size, seed);
     // The first plan warms the processor's caches.
-    planner::plan(&problem(&workload, 0.0, kept_of));
+    drop(planner::plan(&problem(&workload, 0.0, kept_of)));
     (0..ROUNDS)
         .map(|round| {
             let problem = problem(&workload, f64::from(round) * 300.0, kept_of);
