--- a/crates/clementinepond_measure/src/experiment/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/mod.rs
@@ -1,6 +1,11 @@
 //! The list of experiments.
 
+pub mod claims;
+pub mod config;
+pub mod crash;
+pub mod limits;
 pub mod placement;
+pub mod roster;
 
 use crate::ExperimentReport;
 
@@ -17,6 +22,31 @@
 
 /// Every experiment, in the order of `measure list`.
 pub const EXPERIMENTS: &[ExperimentEntry] = &[
+    ExperimentEntry {
+        name: "limits",
+        about: "rate and burst over all VMs: refusals inside the rate, the worst-served account",
+        run: limits::run,
+    },
+    ExperimentEntry {
+        name: "roster",
+        about: "membership: parts in use, platform calls, bytes between VMs",
+        run: roster::run,
+    },
+    ExperimentEntry {
+        name: "config",
+        about: "configuration and withdrawn keys: time until in force everywhere",
+        run: config::run,
+    },
+    ExperimentEntry {
+        name: "claims",
+        about: "keyed calls: runs beyond one, platform writes, cost of faults",
+        run: claims::run,
+    },
+    ExperimentEntry {
+        name: "crash",
+        about: "poison requests: endpoints lost, innocent requests refused",
+        run: crash::run,
+    },
     ExperimentEntry {
         name: "placement",
         about: "attainment and moves of the plan while demand moves tenfold within the hour",
