--- a/crates/clementinepond_decide/src/plan/planner/tuning.rs
+++ b/crates/clementinepond_decide/src/plan/planner/tuning.rs
@@ -40,17 +40,17 @@
         Self {
             headroom_percent: 110,
             interference_percent: 3,
-            smallest_gain_percent: 5,
-            unload_cost_percent: 5,
+            smallest_gain_percent: 3,
+            unload_cost_percent: 4,
             gain_over_loss_percent: 150,
             regret_percent: 5,
             picks: 8,
             pipeline: 3,
             free_copies: 1,
             level_time: TimeSpan::from_secs(15),
-            trend_time: TimeSpan::from_secs(60),
+            trend_time: TimeSpan::from_secs(180),
             hold_time: TimeSpan::from_secs(1_800),
-            look_ahead: TimeSpan::from_secs(60),
+            look_ahead: TimeSpan::from_secs(120),
         }
     }
 }
