--- a/crates/clementinepond_decide/src/limit/settings.rs
+++ b/crates/clementinepond_decide/src/limit/settings.rs
@@ -6,6 +6,9 @@
 /// One million, the whole of a drift bound.
 const MILLION: u64 = 1_000_000;
 
+/// Share of the members that may have left since a grant, as a divisor.
+const SHRINK_MARGIN: usize = 4;
+
 /// Guard that a test removes to show that it is needed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum LimitMutation {
@@ -134,10 +137,12 @@
 
     /// Returns the time for which any grant may outlive a stopped VM.
     ///
-    /// The roster's hold-off before the parts of a VM move must be longer.
+    /// The roster's hold-off before the parts of a VM move must be longer. A
+    /// data centre may have shrunk by a fifth since the grant was made.
     #[must_use]
     pub fn longest_grant(&self, members: usize) -> TimeSpan {
-        let longest = self.loan_span(members).max(self.lot_span);
+        let earlier = members.saturating_add(members / SHRINK_MARGIN);
+        let longest = self.loan_span(earlier);
         longest + longest.fraction(2 * self.clock_drift_ppm, MILLION)
     }
 
--- a/crates/clementinepond_measure/src/experiment/limits/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/limits/mod.rs
@@ -16,6 +16,7 @@
 mod policy;
 mod report;
 mod roster;
+mod scale;
 mod scenario;
 mod stream;
 mod wire;
@@ -27,6 +28,7 @@
 pub use plan::{AccountPlan, BalancePlan, FaultKind, FaultPlan, FleetPlan, ReservePlan, SECOND};
 pub use policy::PolicyKind;
 pub use report::run;
+pub use scale::{run_fleet, run_scale};
 pub use scenario::{
     chaos, cut_off, five_fold, grow, rate_change, skewed, small_accounts, today_accounts,
 };
--- a/crates/clementinepond_measure/src/experiment/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/mod.rs
@@ -16,11 +16,23 @@
 }
 
 /// Every experiment, in the order of `measure list`.
-pub const EXPERIMENTS: &[ExperimentEntry] = &[ExperimentEntry {
-    name: "limits",
-    about: "rate and burst over all VMs: refusals inside the rate, the worst-served account",
-    run: limits::run,
-}];
+pub const EXPERIMENTS: &[ExperimentEntry] = &[
+    ExperimentEntry {
+        name: "limits",
+        about: "rate and burst over all VMs: refusals inside the rate, the worst-served account",
+        run: limits::run,
+    },
+    ExperimentEntry {
+        name: "limits_scale",
+        about: "messages of the limits with 8 and 64 VMs",
+        run: limits::run_scale,
+    },
+    ExperimentEntry {
+        name: "limits_fleet",
+        about: "messages of the limits with 390 VMs; takes minutes",
+        run: limits::run_fleet,
+    },
+];
 
 /// Finds an experiment by name.
 #[must_use]
