--- /dev/null
+++ b/crates/clementinepond_daemon/src/daemon/mod.rs
@@ -0,0 +1,9 @@
+//! Start and graceful stop of one VM.
+
+mod error;
+mod listener;
+mod node_settings;
+mod running;
+
+pub use error::DaemonError;
+pub use running::RunningDaemon;
