--- a/crates/clementinepond_decide/src/roster/contact.rs
+++ b/crates/clementinepond_decide/src/roster/contact.rs
@@ -30,13 +30,24 @@
             return LocalTime::NEVER;
         }
         let running = self.last_run + self.settings.validity;
+        running.min(self.contact_lapse())
+    }
+
+    /// Returns the moment at which the contact that the rule asks for lapses.
+    fn contact_lapse(&self) -> LocalTime {
         match self.settings.contact_rule {
-            ContactRule::AfterPause => running,
-            ContactRule::AnyPeer => running.min(self.contact_until(1)),
-            ContactRule::Majority => running.min(self.contact_until(self.others().div_ceil(2))),
+            ContactRule::AfterPause => LocalTime::NEVER,
+            ContactRule::AnyPeer => self.contact_until(1),
+            ContactRule::Majority => self.contact_until(self.others().div_ceil(2)),
         }
     }
 
+    /// Returns whether an own update of the table is needed as contact.
+    pub(super) fn needs_contact(&self, now: LocalTime) -> bool {
+        let soon = now + self.settings.validity.fraction(1, 2);
+        self.suspended.is_some() || self.contact_lapse() < soon
+    }
+
     fn others(&self) -> usize {
         self.own_table()
             .map_or(0, |object| object.value.members.len().saturating_sub(1))
@@ -47,7 +58,7 @@
         let Some(object) = self.own_table() else {
             return LocalTime::ORIGIN;
         };
-        if self.others() == 0 {
+        if self.others() == 0 && self.mutated(RosterMutation::TrustWhenAlone) {
             return LocalTime::NEVER;
         }
         let mut moments: Vec<LocalTime> = self
--- a/crates/clementinepond_decide/src/roster/plan.rs
+++ b/crates/clementinepond_decide/src/roster/plan.rs
@@ -30,7 +30,7 @@
     give_out(state, &mut table, now);
     let is_changed = known.as_ref() != Some(&table);
     let is_restored = state.table_missing && state.own_entry().is_some();
-    if !is_changed && !is_restored && !wants_confirmation(state) {
+    if !is_changed && !is_restored && !wants_confirmation(state, now) {
         return None;
     }
     table.epoch = table.epoch.next();
@@ -52,9 +52,9 @@
     }
 }
 
-/// Returns whether a member writes an unchanged table to end a suspension.
-fn wants_confirmation(state: &RosterState) -> bool {
-    state.stage == MembershipStage::Member && state.suspended.is_some()
+/// Returns whether a member writes an unchanged table to show that it runs.
+fn wants_confirmation(state: &RosterState, now: LocalTime) -> bool {
+    state.stage == MembershipStage::Member && state.needs_contact(now)
 }
 
 fn plan_own(state: &RosterState, table: &mut RosterTable, now: LocalTime) {
--- a/crates/clementinepond_decide/src/roster/settings.rs
+++ b/crates/clementinepond_decide/src/roster/settings.rs
@@ -30,6 +30,8 @@
     RemoveDespiteHeartbeat,
     /// Uses parts after a pause without contact.
     UseAfterPause,
+    /// Needs no contact while the own table lists no other VM.
+    TrustWhenAlone,
     /// Takes over the parts of an earlier process at once.
     JoinWithoutHoldOff,
     /// Uses parts again while the fate of their release is unknown.
--- a/crates/clementinepond_decide/tests/roster.rs
+++ b/crates/clementinepond_decide/tests/roster.rs
@@ -274,6 +274,31 @@
     }
 }
 
+/// Another VM may have joined and removed one that is separated.
+#[test]
+fn under_the_stricter_rule_a_vm_alone_in_its_table_needs_contact() {
+    for (mutation, parts) in [
+        (RosterMutation::None, 0),
+        (RosterMutation::TrustWhenAlone, 1_024),
+    ] {
+        let settings = RosterSettings {
+            contact_rule: ContactRule::AnyPeer,
+            ..mutated(mutation)
+        };
+        let mut state = state("vm-1", settings);
+        let mut now = LocalTime::ORIGIN;
+        learn(&mut state, table(3, &[("vm-1", 1, 1_024)]), now);
+        for _ in 0..80 {
+            now = now + QUARTER;
+            let effects = reduce(&mut state, RosterEvent::Tick, now);
+            if let Some((_, table)) = stored(&effects) {
+                answer(&mut state, table.nonce, StoreReply::Unknown, now);
+            }
+        }
+        assert_eq!(usable(&state), parts, "{mutation:?}");
+    }
+}
+
 #[test]
 fn a_shutdown_gives_all_parts_away_after_they_stopped() {
     let mut state = state("vm-1", RosterSettings::default());
--- a/crates/clementinepond_measure/src/experiment/roster/chaos.rs
+++ b/crates/clementinepond_measure/src/experiment/roster/chaos.rs
@@ -11,6 +11,7 @@
     PlatformBack,
     CentreBack(usize),
     PeersBack(usize),
+    VmBack(usize),
     Targets(Vec<u32>),
 }
 
@@ -76,6 +77,11 @@
                 let start = world.now + seconds(world, 60, 90);
                 self.later(start, ChaosStep::Start(slot));
             }
+            14 if world.shows_running_as_gone() => {
+                let span = seconds(world, 5, 200);
+                world.separate(slot, span);
+                self.later(world.now + span, ChaosStep::VmBack(slot));
+            }
             11..=14 => {
                 let span = seconds(world, 1, 150);
                 world.pause(slot, span);
@@ -140,6 +146,9 @@
         ChaosStep::PeersBack(centre) => {
             world.cut_peers.remove(&centre);
         }
+        ChaosStep::VmBack(slot) => {
+            world.separated.remove(&slot);
+        }
         ChaosStep::Targets(targets) => {
             let slots: Vec<usize> = (0..world.processes.len()).collect();
             world.set_targets(targets, &slots);
--- a/crates/clementinepond_measure/src/experiment/roster/view.rs
+++ b/crates/clementinepond_measure/src/experiment/roster/view.rs
@@ -3,9 +3,17 @@
 use super::process::VmProcess;
 use super::world::World;
 use clementinepond_decide::configuration::WithdrawalRecord;
+use clementinepond_decide::roster::ContactRule;
 use clementinepond_types::{KeyDigest, ObjectVersion};
 
 impl World {
+    /// Returns whether the list may show running VMs as gone.
+    ///
+    /// The default contact rule assumes that it does not.
+    pub(crate) fn shows_running_as_gone(&self) -> bool {
+        self.plan.roster.contact_rule != ContactRule::AfterPause
+    }
+
     fn running(&self) -> impl Iterator<Item = &VmProcess> {
         self.processes.iter().flatten()
     }
--- a/crates/clementinepond_measure/src/experiment/roster/world.rs
+++ b/crates/clementinepond_measure/src/experiment/roster/world.rs
@@ -131,6 +131,8 @@
     pub(crate) cut_platform: BTreeSet<usize>,
     /// Data centres cut off from the others.
     pub(crate) cut_peers: BTreeSet<usize>,
+    /// VMs that run and reach nobody.
+    pub(crate) separated: BTreeSet<usize>,
     /// Use of parts.
     pub(crate) ledger: UsageLedger,
     /// Bytes sent and received.
@@ -166,6 +168,7 @@
             outage: false,
             cut_platform: BTreeSet::new(),
             cut_peers: BTreeSet::new(),
+            separated: BTreeSet::new(),
             ledger: UsageLedger::new(loan),
             traffic: TrafficCount::new(plan.vms),
             targets: vec![whole; plan.data_centres],
@@ -304,6 +307,16 @@
         self.unlist(&vm, self.now, until + lag);
     }
 
+    /// Separates a VM that goes on running; the list shows it as gone.
+    pub(crate) fn separate(&mut self, slot: usize, span: u64) {
+        let Some(process) = self.processes.get(slot).and_then(Option::as_ref) else {
+            return;
+        };
+        let vm = process.vm.clone();
+        self.separated.insert(slot);
+        self.unlist(&vm, self.now, self.now + span);
+    }
+
     /// Begins a graceful shutdown.
     pub(crate) fn shut_down(&mut self, slot: usize) {
         if self.processes.get(slot).is_some_and(Option::is_some) {
@@ -453,6 +466,7 @@
         let (near, far) = (self.data_centre(slot), self.data_centre(receiver));
         let is_cut =
             near != far && (self.cut_peers.contains(&near) || self.cut_peers.contains(&far));
+        let is_cut = is_cut || self.separated.contains(&slot) || self.separated.contains(&receiver);
         if is_cut || self.chance(self.plan.lost) {
             return;
         }
@@ -515,7 +529,8 @@
 
     /// Returns whether a data centre reaches the platform.
     pub(crate) fn reaches_platform(&self, slot: usize) -> bool {
-        !self.outage && !self.cut_platform.contains(&self.data_centre(slot))
+        let is_cut = self.cut_platform.contains(&self.data_centre(slot));
+        !self.outage && !is_cut && !self.separated.contains(&slot)
     }
 
     /// Sends an answer of the platform, which may be lost.
