--- a/crates/clementinepond_decide/src/crash/permit.rs
+++ b/crates/clementinepond_decide/src/crash/permit.rs
@@ -33,7 +33,8 @@
         return effects;
     }
     if standing(state, fingerprint) == Standing::Sound || !state.settings.separate {
-        effects.push(CrashEffect::Pass { ticket });
+        let avoid = state.all_occupied(now);
+        effects.push(CrashEffect::Pass { ticket, avoid });
         return effects;
     }
     let stage = Waiting {
@@ -77,6 +78,10 @@
         ticket,
         fingerprint,
         candidates: run.stage.candidates.clone(),
+        suspects: state.suspects.reports(fingerprint),
+        losses: state
+            .losses
+            .reports(&state.suspects.open_losses(fingerprint)),
         time_left: now.until(run.stage.deadline),
     };
     let alone = now >= run.stage.patience;
@@ -134,24 +139,45 @@
         Standing::Suspect => {}
     }
     let (losses, settings) = (&state.losses, &state.settings);
-    let is_flaky = |endpoint: &EndpointId| losses.own_crashes(endpoint) >= settings.flaky_limit;
+    if !state.suspects.is_settled(fingerprint, settings, now) {
+        return PermitReply::Wait;
+    }
+    let crashes = |endpoint: &EndpointId| losses.own_crashes(endpoint);
+    let is_likely = state.suspects.is_likely(fingerprint, losses, settings);
+    let answering: Vec<EndpointId> = candidates
+        .iter()
+        .filter(|endpoint| losses.pending_at(endpoint).is_empty())
+        .cloned()
+        .collect();
     let chosen = state
         .permits
-        .choose(fingerprint, candidates, is_flaky, settings);
+        .choose(fingerprint, &answering, is_likely, crashes, settings);
     let Some(endpoint) = chosen else {
         return PermitReply::Wait;
     };
     let expiry = now + settings.permit_limit;
-    state
-        .permits
-        .occupy(owner.clone(), fingerprint, endpoint.clone(), expiry);
+    state.permits.occupy(
+        owner.clone(),
+        fingerprint,
+        endpoint.clone(),
+        is_likely,
+        expiry,
+    );
     PermitReply::Run(endpoint)
 }
 
 /// Gives permits to runs that waited.
 pub(crate) fn serve_waiters(state: &mut CrashState, now: LocalTime) -> Vec<CrashEffect> {
     let mut effects = Vec::new();
-    for (owner, waiter) in state.permits.waiting() {
+    let mut waiting = state.permits.waiting();
+    // The sooner the culprit is found, the sooner the others go on.
+    waiting.sort_by_key(|(_, waiter)| {
+        let fingerprint = waiter.fingerprint;
+        !state
+            .suspects
+            .is_likely(fingerprint, &state.losses, &state.settings)
+    });
+    for (owner, waiter) in waiting {
         let reply = decide(state, &owner, waiter.fingerprint, &waiter.candidates, now);
         if reply != PermitReply::Wait {
             state.permits.stop_waiting(&owner);
@@ -176,7 +202,7 @@
             // The run was given up before its permit came.
             PermitReply::Run(_) if !known => vec![CrashEffect::Send {
                 to: from,
-                message: CrashMessage::RunOver { ticket },
+                message: run_over_message(state, ticket, None),
             }],
             _ => Vec::new(),
         };
@@ -191,19 +217,28 @@
         }
         PermitReply::Sound if standing(state, fingerprint) == Standing::Sound => {
             state.runs.remove(&ticket);
-            vec![CrashEffect::Pass { ticket }]
+            let avoid = state.all_occupied(now);
+            vec![CrashEffect::Pass { ticket, avoid }]
         }
         // This VM knows more; the arbiter learns it by broadcast.
         PermitReply::Sound => Vec::new(),
         PermitReply::Run(endpoint) => {
-            if state.verdicts.is_refused(fingerprint, now) {
-                return advance(state, ticket, now);
+            let undecided = standing(state, fingerprint) == Standing::Undecided;
+            if undecided || state.verdicts.is_refused(fingerprint, now) {
+                // The arbiter did not know of the latest loss yet.
+                let mut effects = vec![CrashEffect::Send {
+                    to: from,
+                    message: run_over_message(state, ticket, Some(fingerprint)),
+                }];
+                effects.extend(advance(state, ticket, now));
+                return effects;
             }
             let stage = Permitted {
                 endpoint: endpoint.clone(),
             };
             let run = RequestRun { fingerprint, stage };
             state.runs.insert(ticket, RunEntry::Permitted(run));
+            state.news.occupied_changed = true;
             vec![CrashEffect::RunAlone { ticket, endpoint }]
         }
     }
@@ -252,6 +287,7 @@
             continue;
         }
         run.stage.announced = true;
+        state.news.occupied_changed = true;
         effects.push(running_message(&to, *ticket, run));
     }
     effects
@@ -303,7 +339,12 @@
 ) -> Vec<CrashEffect> {
     let owner = RunOwner { vm: from, ticket };
     let expiry = now + state.settings.permit_limit;
-    state.permits.occupy(owner, fingerprint, endpoint, expiry);
+    let is_likely = state
+        .suspects
+        .is_likely(fingerprint, &state.losses, &state.settings);
+    state
+        .permits
+        .occupy(owner, fingerprint, endpoint, is_likely, expiry);
     Vec::new()
 }
 
@@ -318,9 +359,25 @@
     serve_waiters(state, now)
 }
 
+fn run_over_message(
+    state: &CrashState,
+    ticket: CrashTicket,
+    fingerprint: Option<RequestFingerprint>,
+) -> CrashMessage {
+    let suspects = fingerprint.map_or_else(Vec::new, |one| state.suspects.reports(one));
+    let open = fingerprint.map_or_else(Vec::new, |one| state.suspects.open_losses(one));
+    CrashMessage::RunOver {
+        ticket,
+        suspects,
+        losses: state.losses.reports(&open),
+    }
+}
+
 /// Ends a run and frees its endpoint.
 pub(crate) fn over(state: &mut CrashState, ticket: CrashTicket) -> Vec<CrashEffect> {
-    let counted = match state.runs.remove(&ticket) {
+    let run = state.runs.remove(&ticket);
+    let fingerprint = run.as_ref().map(RunEntry::fingerprint);
+    let counted = match run {
         None => false,
         Some(RunEntry::InFlight(run)) => run.stage.announced,
         Some(RunEntry::Waiting(_) | RunEntry::Permitted(_)) => true,
@@ -328,7 +385,8 @@
     if !counted {
         return Vec::new();
     }
-    let message = CrashMessage::RunOver { ticket };
+    state.news.occupied_changed = true;
+    let message = run_over_message(state, ticket, fingerprint);
     let arbiter = state.arbiter();
     let mut effects = Vec::new();
     if arbiter != state.vm {
--- a/crates/clementinepond_decide/src/limit/settings.rs
+++ b/crates/clementinepond_decide/src/limit/settings.rs
@@ -38,6 +38,10 @@
     ForgetEarlierRoster,
     /// A restarted VM uses its slice at once.
     SkipStartWait,
+    /// A restarted VM that leaves does not wait for its earlier grants.
+    ReleaseEarly,
+    /// A restarted lender extends what its earlier process lent.
+    TrustRestartedLender,
     /// An older table of accounts replaces a newer one.
     AcceptOlderTable,
     /// A lender keeps its slice while it is lent.
@@ -52,7 +56,7 @@
     pub queue_wait: TimeSpan,
     /// Longest time between an admission and its dispatch.
     pub dispatch_wait: TimeSpan,
-    /// Life of a lot.
+    /// Longest life of a lot.
     pub lot_span: TimeSpan,
     /// Shortest life for which a lot is given.
     pub lot_span_floor: TimeSpan,
@@ -84,10 +88,10 @@
         Self {
             queue_wait: TimeSpan::from_millis(300),
             dispatch_wait: TimeSpan::from_secs(1),
-            lot_span: TimeSpan::from_secs(4),
+            lot_span: TimeSpan::from_secs(10),
             lot_span_floor: TimeSpan::from_millis(100),
-            loan_interval: TimeSpan::from_secs(1),
-            loan_interval_per_peer: TimeSpan::from_millis(50),
+            loan_interval: TimeSpan::from_secs(2),
+            loan_interval_per_peer: TimeSpan::from_millis(100),
             loan_intervals: 3,
             retry_interval: TimeSpan::from_millis(40),
             report_interval: TimeSpan::from_millis(500),
@@ -116,6 +120,18 @@
         TimeSpan::from_micros(interval.saturating_mul(self.loan_intervals))
     }
 
+    /// Returns the life of a lot in a data centre of `members` VMs.
+    ///
+    /// It is shorter than what a part loan that is renewed in time has left,
+    /// so that the loans that back a lot outlive it.
+    #[must_use]
+    pub fn lot_span(&self, members: usize) -> TimeSpan {
+        let interval = self.poll_interval(members);
+        let renewed = interval.fraction(self.loan_intervals.saturating_sub(1), 1);
+        let sure = renewed.saturating_sub(interval.fraction(1, 10));
+        sure.min(self.lot_span)
+    }
+
     /// Returns the time for which any grant may outlive a stopped VM.
     ///
     /// The roster's hold-off before the parts of a VM move must be longer.
--- a/crates/clementinepond_decide/src/limit/state.rs
+++ b/crates/clementinepond_decide/src/limit/state.rs
@@ -3,10 +3,11 @@
 use super::account::AccountState;
 use super::event::TicketId;
 use super::home::MemberList;
+use super::loan;
 use super::message::{ChannelId, LoanStep};
 use super::peer::PeerTable;
 use super::reservation::TicketState;
-use super::settings::{LimitMutation, LimitSettings};
+use super::settings::LimitSettings;
 use super::slice::PartRights;
 use clementinepond_types::{
     AccountId, Epoch, LocalTime, ObjectVersion, TimeSpan, TokenCount, TokenRate, VmId,
@@ -26,7 +27,7 @@
 
 impl PollState {
     /// Numbers the next poll and remembers when it was sent.
-    pub(super) fn next_step(&mut self, incarnation: u64, now: LocalTime) -> LoanStep {
+    pub(super) fn next_step(&mut self, incarnation: u32, now: LocalTime) -> LoanStep {
         self.counter = self.counter.saturating_add(1);
         if self.sent.len() == REMEMBERED_POLLS {
             self.sent.pop_front();
@@ -81,7 +82,7 @@
 #[derive(Debug)]
 pub struct LimitState {
     pub(super) settings: LimitSettings,
-    pub(super) incarnation: u64,
+    pub(super) incarnation: u32,
     pub(super) epoch: Option<Epoch>,
     pub(super) table_version: Option<ObjectVersion>,
     pub(super) rights: PartRights,
@@ -103,7 +104,7 @@
     ///
     /// `incarnation` is a number that no earlier process of this VM had.
     #[must_use]
-    pub fn new(settings: LimitSettings, vm: VmId, incarnation: u64) -> Self {
+    pub fn new(settings: LimitSettings, vm: VmId, incarnation: u32) -> Self {
         Self {
             settings,
             incarnation,
@@ -124,10 +125,12 @@
         }
     }
 
-    /// Returns what an account has on this VM, as of the last event.
+    /// Returns what an account has on this VM at `now`.
     #[must_use]
-    pub fn account_status(&self, account: &AccountId) -> Option<AccountStatus> {
-        let account = self.accounts.get(account)?;
+    pub fn account_status(&mut self, account: &AccountId, now: LocalTime) -> Option<AccountStatus> {
+        loan::lapse(self, now);
+        let account = self.accounts.get_mut(account)?;
+        account.settle(now, &self.settings);
         let bucket = &account.bucket;
         Some(AccountStatus {
             level: bucket.level(),
@@ -146,6 +149,12 @@
         self.rights.home(self.accounts.get(account)?)
     }
 
+    /// Returns whether this VM may use and lend what it holds.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_started() && self.table_version.is_some()
+    }
+
     pub(super) fn next_channel_id(&mut self) -> ChannelId {
         self.next_channel = self.next_channel.saturating_add(1);
         ChannelId {
@@ -156,7 +165,13 @@
 
     /// Returns whether this VM may use and lend its parts.
     pub(super) fn is_started(&self) -> bool {
-        self.start_wait == StartWait::Over || self.settings.has(LimitMutation::SkipStartWait)
+        self.rights.is_usable
+    }
+
+    /// Returns the life of a lot.
+    pub(super) fn lot_span(&self) -> TimeSpan {
+        let members = self.rights.members().map_or(1, MemberList::len);
+        self.settings.lot_span(members)
     }
 
     /// Returns the interval between polls.
@@ -165,6 +180,29 @@
         self.settings.poll_interval(members)
     }
 
+    /// Returns how long a lot of `amount` would last, if it can be given.
+    ///
+    /// The borrower counts on the whole channel until the channel's deadline,
+    /// so that the loans that back the lot have to last as long.
+    pub(super) fn lot_deadline(
+        &self,
+        id: &AccountId,
+        channel: &(VmId, ChannelId),
+        amount: TokenCount,
+        now: LocalTime,
+    ) -> Option<LocalTime> {
+        let account = self.accounts.get(id)?;
+        let promised = account.lent.get(channel)?.deadline;
+        let committed = account.bucket.lent() + account.bucket.held() + amount;
+        let settings = &self.settings;
+        let horizon = now + self.lot_span();
+        let assured = self
+            .rights
+            .assured_until(id, account, committed, horizon, settings);
+        let needed = promised.max(now + settings.lot_span_floor);
+        (assured >= needed).then(|| assured.min(now + self.lot_span()))
+    }
+
     /// Settles every account that `choose` picks and gives it its slice.
     pub(super) fn resize_where(&mut self, now: LocalTime, choose: impl Fn(&AccountState) -> bool) {
         for (id, account) in &mut self.accounts {
