--- /dev/null
+++ b/crates/clementinepond_model/src/claim/replica.rs
@@ -0,0 +1,76 @@
+//! Copies to the replica and their acknowledgements.
+
+use super::mutation::ClaimMutation;
+use super::platform::made_durable;
+use super::state::{ClaimCopy, ClaimRecord, ClaimState, HeldShard, OwnerStage, ReplicaState};
+use super::step::{ClaimModel, ClaimStep, NextStates};
+
+impl ClaimModel {
+    pub(super) fn acknowledge_steps(
+        &self,
+        state: &ClaimState,
+        vm: usize,
+        shard: HeldShard,
+        next: &mut NextStates,
+    ) {
+        let Some(incarnation) = shard.replica.filter(|_| shard.activated) else {
+            return;
+        };
+        let number = (shard.term, shard.sequence, incarnation);
+        if !shard.durable && state.acknowledged.contains(&number) {
+            let mut after = state.clone();
+            made_durable(&mut after, vm);
+            next.push((ClaimStep::Acknowledge(vm), after));
+        }
+    }
+
+    pub(super) fn replica_steps(&self, state: &ClaimState, next: &mut NextStates) {
+        for copy in &state.copies {
+            let promised = state.replica.promised.max(state.replica.term);
+            let is_old = copy.term < promised;
+            let refused = is_old && self.mutation != ClaimMutation::AcknowledgeOldTerm;
+            if refused || copy.incarnation != state.replica.incarnation {
+                continue;
+            }
+            let mut after = state.clone();
+            // A second delivery would change nothing.
+            after.copies.remove(copy);
+            store(&mut after.replica, copy);
+            let number = (copy.term, copy.sequence, copy.incarnation);
+            after.acknowledged.insert(number);
+            next.push((ClaimStep::Store(copy.term, copy.record), after));
+        }
+    }
+}
+
+/// Sends a copy of the claim, once copies count.
+///
+/// A release is not copied; a later owner then takes the call for running.
+pub(super) fn send_copy(state: &mut ClaimState, vm: usize) {
+    let OwnerStage::Holding(shard) = state.owners[vm].stage else {
+        return;
+    };
+    if shard.record == ClaimRecord::Free || !shard.activated {
+        return;
+    }
+    if let Some(incarnation) = shard.replica {
+        state.copies.insert(ClaimCopy {
+            term: shard.term,
+            sequence: shard.sequence,
+            incarnation,
+            record: shard.record,
+        });
+    }
+}
+
+fn store(replica: &mut ReplicaState, copy: &ClaimCopy) {
+    if copy.term > replica.term {
+        replica.term = copy.term;
+        replica.sequence = 0;
+        replica.record = ClaimRecord::Free;
+    }
+    if copy.term == replica.term && copy.sequence > replica.sequence {
+        replica.sequence = copy.sequence;
+        replica.record = copy.record;
+    }
+}
--- a/crates/clementinepond_model/src/lib.rs
+++ b/crates/clementinepond_model/src/lib.rs
@@ -9,8 +9,10 @@
 //!
 //! The specification shares no code with the product.
 
+mod claim;
 mod configuration;
 mod explore;
+mod limit;
 mod plan;
 
 pub use explore::{
@@ -19,4 +21,9 @@
 };
 
 /// All specifications.
-pub const SPECIFICATIONS: &[SpecificationEntry] = &[plan::ENTRY, configuration::ENTRY];
+pub const SPECIFICATIONS: &[SpecificationEntry] = &[
+    limit::ENTRY,
+    claim::ENTRY,
+    plan::ENTRY,
+    configuration::ENTRY,
+];
--- a/crates/clementinepond_model/src/plan/mod.rs
+++ b/crates/clementinepond_model/src/plan/mod.rs
@@ -18,6 +18,7 @@
 mod ledger;
 mod mutation;
 mod network;
+mod start;
 mod state;
 mod step;
 
