--- a/crates/clementinepond_decide/src/limit/loan.rs
+++ b/crates/clementinepond_decide/src/limit/loan.rs
@@ -1,9 +1,10 @@
-//! Part loans: polls of a home, loans of a VM's slices, and their lapse.
+//! Part loans: loans of a VM's slices to homes, and their lapse.
 
 use super::account::{AccountState, AskRound};
 use super::event::PartFraction;
-use super::message::{KeptCapacity, LoanPoll, LoanStep, PartLoan};
+use super::message::{KeptCapacity, LoanPoll, PartLoan};
 use super::outbox::EffectOutbox;
+use super::poll;
 use super::settings::LimitMutation;
 use super::slice::{BorrowedParts, LentParts};
 use super::state::{LimitState, StartWait};
@@ -80,50 +81,6 @@
     }
 }
 
-/// Asks every other member for its parts.
-pub(super) fn poll_all(state: &mut LimitState, now: LocalTime, outbox: &mut EffectOutbox) {
-    let vms: Vec<VmId> = state.polls.keys().cloned().collect();
-    for vm in vms {
-        poll(state, &vm, now, outbox);
-    }
-}
-
-/// Asks the members whose poll is due.
-pub(super) fn poll_due(state: &mut LimitState, now: LocalTime, outbox: &mut EffectOutbox) {
-    let due: Vec<VmId> = state
-        .polls
-        .iter()
-        .filter(|(_, poll)| poll.next_at <= now)
-        .map(|(vm, _)| vm.clone())
-        .collect();
-    for vm in due {
-        poll(state, &vm, now, outbox);
-    }
-}
-
-fn poll(state: &mut LimitState, vm: &VmId, now: LocalTime, outbox: &mut EffectOutbox) {
-    if state.releasing || !state.is_started() {
-        return;
-    }
-    let interval = state.poll_interval();
-    let Some(poll) = state.polls.get_mut(vm) else {
-        return;
-    };
-    poll.next_at = now + interval;
-    let poll = LoanPoll {
-        step: poll.next_step(state.incarnation, now),
-        using: confirmed_step(state, vm, now),
-    };
-    outbox.poll(vm, poll);
-}
-
-/// Returns the loan in use, once nothing depends on an earlier one.
-fn confirmed_step(state: &LimitState, vm: &VmId, now: LocalTime) -> Option<LoanStep> {
-    let loan = state.rights.borrowed.get(vm)?;
-    let is_confirmed = loan.confirm_at <= now || state.settings.has(LimitMutation::ConfirmEarly);
-    is_confirmed.then_some(loan.step)
-}
-
 /// Lends this VM's parts to a home that polls for them.
 pub(super) fn answer_poll(
     state: &mut LimitState,
@@ -170,15 +127,7 @@
     };
     record(state, lent, now);
     outbox.lend_parts(from, loan);
-    poll_along(state, from, now, outbox);
-}
-
-/// Sends this VM's own poll along with a loan when it is due soon.
-fn poll_along(state: &mut LimitState, vm: &VmId, now: LocalTime, outbox: &mut EffectOutbox) {
-    let soon = now + state.poll_interval().fraction(1, 2);
-    if state.polls.get(vm).is_some_and(|poll| poll.next_at <= soon) {
-        poll(state, vm, now, outbox);
-    }
+    poll::along(state, from, now, outbox);
 }
 
 fn is_stale(state: &LimitState, from: &VmId, poll: &LoanPoll) -> bool {
@@ -320,7 +269,7 @@
     defer_confirmation(state, from, former.as_ref(), now);
     resize_covered(state, from, former.as_ref(), &vm, now);
     if is_transitional {
-        hasten_poll(state, from, now);
+        poll::hasten(state, from, now);
     }
     let busy: Vec<AccountId> = state.busy.iter().cloned().collect();
     for id in busy {
@@ -393,11 +342,3 @@
     };
     state.resize_where(now, is_covered);
 }
-
-/// Polls again soon, so that the lender can widen its loan.
-fn hasten_poll(state: &mut LimitState, vm: &VmId, now: LocalTime) {
-    let soon = now + state.settings.retry_interval;
-    if let Some(poll) = state.polls.get_mut(vm) {
-        poll.next_at = poll.next_at.min(soon);
-    }
-}
--- a/crates/clementinepond_decide/src/limit/mod.rs
+++ b/crates/clementinepond_decide/src/limit/mod.rs
@@ -31,6 +31,7 @@
 mod outbox;
 mod peer;
 mod periodic;
+mod poll;
 mod reduce;
 mod reservation;
 mod serve;
--- a/crates/clementinepond_decide/src/limit/periodic.rs
+++ b/crates/clementinepond_decide/src/limit/periodic.rs
@@ -1,8 +1,8 @@
 //! Periodic work: polls, waiting requests, returns and renewals of lots.
 
 use super::account::AccountState;
-use super::loan;
 use super::outbox::EffectOutbox;
+use super::poll;
 use super::serve;
 use super::settings::{LimitMutation, LimitSettings};
 use super::slice::PartRights;
@@ -17,7 +17,7 @@
 
 /// Does what is due.
 pub(super) fn tick(state: &mut LimitState, now: LocalTime, outbox: &mut EffectOutbox) {
-    loan::poll_due(state, now, outbox);
+    poll::due(state, now, outbox);
     let busy: Vec<AccountId> = state.busy.iter().cloned().collect();
     for id in busy {
         serve::serve_at(state, &id, now, outbox);
--- a/crates/clementinepond_decide/src/limit/reduce.rs
+++ b/crates/clementinepond_decide/src/limit/reduce.rs
@@ -11,7 +11,7 @@
 use super::serve;
 use super::settings::LimitMutation;
 use super::state::{LimitState, StartWait};
-use super::{effect::LimitEffect, loan};
+use super::{effect::LimitEffect, loan, poll};
 use clementinepond_types::{AccountId, LocalTime, TimeSpan, TokenCount, VmId};
 
 /// Handles one event at `now` on the local clock.
@@ -100,7 +100,7 @@
     state.rights.rosters.insert(list.digest(), list);
     if is_moved {
         loan::relocate(state);
-        loan::poll_all(state, now, outbox);
+        poll::all(state, now, outbox);
     }
     state.resize_where(now, |_| true);
 }
--- a/crates/clementinepond_measure/src/experiment/limits/client.rs
+++ b/crates/clementinepond_measure/src/experiment/limits/client.rs
@@ -1,6 +1,7 @@
 //! Clients and engines of a simulated fleet.
 
-use super::fleet::{FleetEvent, FleetSimulation, PendingAsk};
+use super::fleet::{FleetEvent, FleetSimulation};
+use super::host::PendingAsk;
 use super::plan::{BalancePlan, ReservePlan, SECOND};
 use super::stream::{MEAN_COST, RequestPlan, StreamPart, TokenStream};
 use clementinepond_decide::limit::{AdmissionAsk, LimitEvent, TicketId};
--- /dev/null
+++ b/crates/clementinepond_measure/src/experiment/limits/host.rs
@@ -0,0 +1,45 @@
+//! One VM of a simulated fleet, and what waits on it.
+
+use super::policy::VmPolicy;
+use super::stream::RequestPlan;
+use clementinepond_types::{LocalTime, VmId};
+
+/// One VM of the fleet.
+#[derive(Debug)]
+pub(super) struct FleetVm {
+    pub(super) name: VmId,
+    pub(super) centre: usize,
+    pub(super) policy: VmPolicy,
+    pub(super) incarnation: u32,
+    pub(super) paused_until: u64,
+    pub(super) isolated_until: u64,
+    pub(super) is_stopped: bool,
+    pub(super) is_leaving: bool,
+    pub(super) clock_offset: u64,
+    pub(super) clock_ppm: i64,
+}
+
+impl FleetVm {
+    pub(super) fn local(&self, now: u64) -> LocalTime {
+        let drift = i128::from(now) * i128::from(self.clock_ppm) / 1_000_000;
+        let local = i128::from(now + self.clock_offset) + drift;
+        LocalTime::from_micros(u64::try_from(local).unwrap_or(0))
+    }
+
+    pub(super) fn takes_calls(&self) -> bool {
+        !self.is_stopped && !self.is_leaving
+    }
+}
+
+/// Request that waits for its admission.
+#[derive(Debug)]
+pub(super) struct PendingAsk {
+    pub(super) request: RequestPlan,
+    pub(super) vm: usize,
+    pub(super) asked_at: u64,
+    pub(super) stream: Option<u64>,
+    pub(super) prompt: u64,
+    pub(super) output: u64,
+    pub(super) is_admitted: bool,
+    pub(super) is_ideal: bool,
+}
--- a/crates/clementinepond_measure/src/experiment/limits/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/limits/mod.rs
@@ -9,6 +9,7 @@
 mod client;
 mod fault;
 mod fleet;
+mod host;
 mod ledger;
 mod network;
 mod outcome;
--- a/crates/clementinepond_measure/src/experiment/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/mod.rs
@@ -1,6 +1,11 @@
 //! The list of experiments.
 
+pub mod claims;
+pub mod config;
+pub mod crash;
 pub mod limits;
+pub mod placement;
+pub mod roster;
 
 use crate::ExperimentReport;
 
@@ -32,6 +37,41 @@
         about: "messages of the limits with 390 VMs; takes minutes",
         run: limits::run_fleet,
     },
+    ExperimentEntry {
+        name: "roster",
+        about: "membership: parts in use, platform calls, bytes between VMs",
+        run: roster::run,
+    },
+    ExperimentEntry {
+        name: "config",
+        about: "configuration and withdrawn keys: time until in force everywhere",
+        run: config::run,
+    },
+    ExperimentEntry {
+        name: "claims",
+        about: "keyed calls: runs beyond one, platform writes, cost of faults",
+        run: claims::run,
+    },
+    ExperimentEntry {
+        name: "crash",
+        about: "poison requests: endpoints lost, innocent requests refused",
+        run: crash::run,
+    },
+    ExperimentEntry {
+        name: "placement",
+        about: "attainment and moves of the plan while demand moves tenfold within the hour",
+        run: placement::run,
+    },
+    ExperimentEntry {
+        name: "placement-recovery",
+        about: "1,000 schedules in which the plan holder is killed in the middle of its moves",
+        run: placement::run_recovery,
+    },
+    ExperimentEntry {
+        name: "placement-time",
+        about: "time of one plan; read from this machine's clock, so not repeatable",
+        run: placement::run_time,
+    },
 ];
 
 /// Finds an experiment by name.
