--- a/crates/clementinepond_decide/src/crash/settings.rs
+++ b/crates/clementinepond_decide/src/crash/settings.rs
@@ -68,6 +68,8 @@
     pub report_wait: TimeSpan,
     /// Time for which a completed run speaks for its request.
     pub sound_lifetime: TimeSpan,
+    /// Most losses that completed runs of a request speak against.
+    pub sound_credits: usize,
     /// Most completed requests that are remembered.
     pub sound_limit: usize,
     /// Wait for the arbiter before a VM decides alone.
@@ -105,6 +107,7 @@
             permit_limit: TimeSpan::from_secs(5),
             report_wait: TimeSpan::from_millis(30),
             sound_lifetime: TimeSpan::from_secs(600),
+            sound_credits: 2,
             sound_limit: 8_192,
             arbiter_wait: TimeSpan::from_secs(2),
             resend_interval: TimeSpan::from_millis(200),
--- a/crates/clementinepond_measure/src/experiment/claims/callers.rs
+++ b/crates/clementinepond_measure/src/experiment/claims/callers.rs
@@ -23,6 +23,8 @@
     /// Makes a key and calls with it.
     pub(super) fn arrival(&mut self, at: u64) {
         if at >= self.scenario.arrivals.micros() {
+            self.tally.writes = self.platform.writes;
+            self.tally.reads = self.platform.reads;
             return;
         }
         let mean = 1_000_000 / self.scenario.calls_per_second.max(1);
@@ -251,8 +253,6 @@
         }
         self.tally.keys = self.keys.len() as u64;
         self.tally.keys_run = self.keys.values().filter(|key| key.runs > 0).count() as u64;
-        self.tally.writes = self.platform.writes;
-        self.tally.reads = self.platform.reads;
         #[expect(clippy::cast_precision_loss, reason = "a run lasts minutes")]
         let seconds = self.scenario.arrivals.millis() as f64 / 1_000.0;
         self.tally.seconds = seconds;
--- a/crates/clementinepond_measure/src/experiment/claims/tally.rs
+++ b/crates/clementinepond_measure/src/experiment/claims/tally.rs
@@ -49,9 +49,9 @@
     pub keys: u64,
     /// Keys that ran.
     pub keys_run: u64,
-    /// Platform writes.
+    /// Platform writes until the arrivals end.
     pub writes: u64,
-    /// Platform reads.
+    /// Platform reads until the arrivals end.
     pub reads: u64,
     /// Messages between VMs.
     pub messages: u64,
--- a/crates/clementinepond_measure/src/experiment/crash/world.rs
+++ b/crates/clementinepond_measure/src/experiment/crash/world.rs
@@ -106,6 +106,7 @@
     pub(super) next_number: u64,
     pub(super) cut: Option<usize>,
     pub(super) condemned: BTreeSet<u64>,
+    pub(super) innocent_bodies: BTreeMap<RequestFingerprint, u64>,
     pub(super) tally: CrashTally,
 }
 
@@ -141,6 +142,7 @@
             next_number: 1,
             cut: None,
             condemned: BTreeSet::new(),
+            innocent_bodies: BTreeMap::new(),
             tally: CrashTally::default(),
             scenario,
         }
