--- a/crates/clementinepond_decide/src/claim/mod.rs
+++ b/crates/clementinepond_decide/src/claim/mod.rs
@@ -18,6 +18,7 @@
 //! unknown and is never granted again.
 
 mod asker;
+mod assignment;
 mod effect;
 mod event;
 mod key;
@@ -29,6 +30,7 @@
 mod reduce;
 mod replica;
 mod settings;
+mod shard_step;
 mod state;
 mod ticket;
 
--- a/crates/clementinepond_decide/src/claim/owner/granting.rs
+++ b/crates/clementinepond_decide/src/claim/owner/granting.rs
@@ -1,7 +1,7 @@
 //! Answers to calls and reports on runs.
 
 use super::copying::copy_one;
-use super::shard::{ActiveRecord, ActiveState, Holding, OwnerContext, SettledRecord, ShardTenure};
+use super::shard::{ActiveRecord, ActiveState, Holding, OwnerContext, ShardTenure};
 use crate::claim::effect::{ClaimEffect, ClaimRefusal};
 use crate::claim::event::RunOutcome;
 use crate::claim::key::{BodyFingerprint, ClaimKey, KeyDate};
@@ -9,14 +9,11 @@
 use crate::claim::object::RUNNING_WIDTH;
 use crate::claim::record::RunHolder;
 use crate::claim::settings::ClaimMutation;
-use clementinepond_types::{LocalTime, TimeSpan, VmId};
+use clementinepond_types::{LocalTime, TimeSpan};
 use std::collections::BTreeSet;
 
 /// Calls that are told at once when a run ends; others ask again.
 const WAITER_LIMIT: usize = 16;
-/// Time between two searches for records that are due.
-const SWEEP_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
-
 fn reply(to: &RunHolder, reply: OwnerReply, context: &mut OwnerContext<'_>) {
     context.effects.push(ClaimEffect::Send {
         to: to.vm.clone(),
@@ -250,7 +247,7 @@
     acknowledge(reporter, context);
 }
 
-fn free(stage: &mut Holding, key: ClaimKey, now: LocalTime) {
+pub(super) fn free(stage: &mut Holding, key: ClaimKey, now: LocalTime) {
     stage.next_sequence(now);
     stage.active.remove(&key);
     stage.pending.remove(&key);
@@ -306,7 +303,7 @@
 }
 
 /// Sets the outcome of a claim, copies it and tells who waits for it.
-fn change(
+pub(super) fn change(
     tenure: &mut ShardTenure<Holding>,
     key: ClaimKey,
     fingerprint: BodyFingerprint,
@@ -362,86 +359,3 @@
         }
     }
 }
-
-/// Ends runs without report and forgets records beyond retention.
-pub(crate) fn sweep(tenure: &mut ShardTenure<Holding>, context: &mut OwnerContext<'_>) {
-    let now = context.now;
-    if now < tenure.stage.next_sweep {
-        return;
-    }
-    tenure.stage.next_sweep = now + SWEEP_INTERVAL;
-    let expired = running_keys(&tenure.stage, |_, expiry| now >= expiry);
-    for key in expired {
-        lose(tenure, key, context);
-    }
-    let stage = &mut tenure.stage;
-    let is_kept = |record: &SettledRecord| record.forget_at > now;
-    stage.settled.retain(|_, record| is_kept(record));
-    let settings = context.settings;
-    let is_over = |record: &ActiveRecord| {
-        !matches!(record.state, ActiveState::Running { .. })
-            && record.durable
-            && record.changed_at + settings.kept_for(record.dated) <= now
-    };
-    let over: Vec<ActiveRecord> = stage
-        .active
-        .extract_if(.., |_, record| is_over(record))
-        .map(|(_, record)| record)
-        .collect();
-    for record in &over {
-        stage.drop_answer(record);
-    }
-    if stage
-        .quarantine
-        .is_some_and(|quarantine| now >= quarantine.until)
-    {
-        stage.quarantine = None;
-    }
-}
-
-fn running_keys(
-    stage: &Holding,
-    is_wanted: impl Fn(&RunHolder, LocalTime) -> bool,
-) -> Vec<ClaimKey> {
-    stage
-        .active
-        .iter()
-        .filter(|(_, record)| match &record.state {
-            ActiveState::Running { holder, expiry } => is_wanted(holder, *expiry),
-            _ => false,
-        })
-        .map(|(key, _)| *key)
-        .collect()
-}
-
-/// Ends the runs of a VM that left the roster.
-pub(crate) fn holder_lost(
-    tenure: &mut ShardTenure<Holding>,
-    vm: &VmId,
-    context: &mut OwnerContext<'_>,
-) {
-    for key in running_keys(&tenure.stage, |holder, _| holder.vm == *vm) {
-        lose(tenure, key, context);
-    }
-}
-
-/// Ends a run whose outcome will not be reported.
-fn lose(tenure: &mut ShardTenure<Holding>, key: ClaimKey, context: &mut OwnerContext<'_>) {
-    if context.settings.mutation == ClaimMutation::ForgetUnreportedRun {
-        free(&mut tenure.stage, key, context.now);
-        return;
-    }
-    let Some(record) = tenure.stage.active.get(&key) else {
-        return;
-    };
-    let (fingerprint, dated) = (record.fingerprint, record.dated);
-    change(
-        tenure,
-        key,
-        fingerprint,
-        dated,
-        ActiveState::Unknown,
-        None,
-        context,
-    );
-}
--- a/crates/clementinepond_decide/src/claim/reduce.rs
+++ b/crates/clementinepond_decide/src/claim/reduce.rs
@@ -1,18 +1,19 @@
 //! From an event to effects.
 
 use super::asker;
+use super::assignment::{finish_release, release, roster_changed};
 use super::effect::ClaimEffect;
 use super::event::ClaimEvent;
 use super::key::{ClaimKey, ShardNumber};
 use super::message::{ClaimMessage, CollectedCopies};
 use super::object::ShardObject;
 use super::owner::{self, Holding, OwnerContext, ShardEntry, ShardTenure};
-use super::placement::rank_members;
 use super::record::ClaimTicket;
-use super::replica::{self, HeldCopy, ReplicaShard};
-use super::state::{ClaimState, RosterView};
+use super::replica;
+use super::shard_step::{flush_step, step_down, with_shard};
+use super::state::ClaimState;
 use crate::port::{ReadReply, StoreReply};
-use clementinepond_types::{DataCentreId, Epoch, LocalTime, VmId};
+use clementinepond_types::{LocalTime, VmId};
 use std::collections::VecDeque;
 
 /// Applies one event.
@@ -67,98 +68,6 @@
     }
 }
 
-/// Runs one step on a shard and puts its next stage back.
-fn with_shard(
-    state: &mut ClaimState,
-    shard: ShardNumber,
-    now: LocalTime,
-    step: impl FnOnce(
-        ShardEntry,
-        &mut OwnerContext<'_>,
-    ) -> Result<ShardEntry, Box<ShardTenure<Holding>>>,
-) -> Vec<ClaimEffect> {
-    let Some(entry) = state.shards.remove(&shard) else {
-        return Vec::new();
-    };
-    let others = others(state, shard);
-    let epoch = state
-        .home_roster()
-        .map(|roster| roster.epoch)
-        .unwrap_or_default();
-    let mut context = OwnerContext {
-        settings: &state.settings,
-        vm: &state.vm,
-        incarnation: state.incarnation,
-        writes: &mut state.writes,
-        epoch,
-        others,
-        now,
-        effects: Vec::new(),
-    };
-    let outcome = step(entry, &mut context);
-    let entry = match outcome {
-        Ok(entry) => Ok(entry),
-        Err(tenure) => {
-            let next = owner::deposed(&tenure, &mut context);
-            Err((tenure, next))
-        }
-    };
-    let effects = context.effects;
-    let entry = match entry {
-        Ok(entry) => entry,
-        Err((tenure, next)) => {
-            surrender(state, *tenure, 0, now);
-            if state.releasing || state.owner(shard).as_ref() != Some(&state.vm) {
-                return effects;
-            }
-            next
-        }
-    };
-    if let ShardEntry::Holding(tenure) = &entry
-        && tenure.stage.activated
-    {
-        // The object holds what this VM kept for the former owner.
-        state.replicas.remove(&shard);
-    }
-    state.shards.insert(shard, entry);
-    effects
-}
-
-fn others(state: &ClaimState, shard: ShardNumber) -> Vec<VmId> {
-    let members = state
-        .home_roster()
-        .map_or(&[][..], |roster| &roster.members);
-    let mut ranked = rank_members(shard, members);
-    ranked.retain(|vm| *vm != state.vm);
-    ranked
-}
-
-/// Keeps the claims of a lost shard for its next owner.
-fn surrender(state: &mut ClaimState, tenure: ShardTenure<Holding>, promised: u64, now: LocalTime) {
-    let stage = tenure.stage;
-    if !stage.activated {
-        // Nothing was granted by copies in this term.
-        return;
-    }
-    let records = stage
-        .active
-        .iter()
-        .map(|(key, record)| {
-            let held = HeldCopy {
-                record: record.to_copy(*key, now),
-                received_at: now,
-            };
-            (*key, held)
-        })
-        .collect();
-    let replica = ReplicaShard {
-        term: stage.term,
-        promised: promised.max(stage.term),
-        records,
-    };
-    state.replicas.insert(tenure.shard, replica);
-}
-
 fn received(
     state: &mut ClaimState,
     from: VmId,
@@ -223,19 +132,6 @@
     }
 }
 
-/// Stops granting in a shard that a newer owner takes over.
-fn step_down(state: &mut ClaimState, shard: ShardNumber, term: u64, now: LocalTime) {
-    let Some(ShardEntry::Holding(tenure)) = state.shards.get(&shard) else {
-        return;
-    };
-    if tenure.stage.term >= term {
-        return;
-    }
-    if let Some(ShardEntry::Holding(tenure)) = state.shards.remove(&shard) {
-        surrender(state, *tenure, term, now);
-    }
-}
-
 fn owner_received(
     state: &mut ClaimState,
     shard: ShardNumber,
@@ -360,116 +256,6 @@
     effects
 }
 
-fn roster_changed(
-    state: &mut ClaimState,
-    data_centre: DataCentreId,
-    epoch: Epoch,
-    members: Vec<VmId>,
-    now: LocalTime,
-) -> Vec<ClaimEffect> {
-    let former = state.rosters.get(&data_centre);
-    if former.is_some_and(|former| former.epoch >= epoch) {
-        return Vec::new();
-    }
-    let lost: Vec<VmId> = former.map_or_else(Vec::new, |former| {
-        let gone = former.members.iter().filter(|vm| !members.contains(vm));
-        gone.cloned().collect()
-    });
-    state
-        .rosters
-        .insert(data_centre, RosterView { epoch, members });
-    let mut effects = end_lost_runs(state, &lost, now);
-    effects.extend(assign(state, now));
-    effects
-}
-
-fn end_lost_runs(state: &mut ClaimState, lost: &[VmId], now: LocalTime) -> Vec<ClaimEffect> {
-    let shards: Vec<ShardNumber> = state.shards.keys().copied().collect();
-    let mut effects = Vec::new();
-    for shard in shards {
-        effects.extend(with_shard(state, shard, now, |entry, context| {
-            Ok(match entry {
-                ShardEntry::Holding(mut tenure) => {
-                    for vm in lost {
-                        owner::holder_lost(&mut tenure, vm, context);
-                    }
-                    ShardEntry::Holding(tenure)
-                }
-                other => other,
-            })
-        }));
-    }
-    effects
-}
-
-/// Takes the shards that the roster gives to this VM and closes the others.
-fn assign(state: &mut ClaimState, now: LocalTime) -> Vec<ClaimEffect> {
-    let assigned = state.assigned_shards();
-    let mut effects = close_others(state, &assigned, now);
-    for shard in assigned {
-        let reopened = match state.shards.get_mut(&shard) {
-            Some(ShardEntry::Holding(tenure)) => {
-                tenure.stage.closing = false;
-                true
-            }
-            Some(_) => true,
-            None => false,
-        };
-        if !reopened {
-            let entry = ShardEntry::Reading(ShardTenure {
-                shard,
-                stage: owner::Reading {
-                    read_at: now,
-                    retry_at: now,
-                },
-            });
-            state.shards.insert(shard, entry);
-            effects.extend(with_shard(state, shard, now, |entry, context| {
-                Ok(owner::taking_tick(entry, context))
-            }));
-        }
-    }
-    effects
-}
-
-fn close_others(
-    state: &mut ClaimState,
-    assigned: &[ShardNumber],
-    now: LocalTime,
-) -> Vec<ClaimEffect> {
-    let others: Vec<ShardNumber> = state
-        .shards
-        .keys()
-        .filter(|shard| !assigned.contains(shard))
-        .copied()
-        .collect();
-    let mut effects = Vec::new();
-    for shard in others {
-        if let Some(ShardEntry::Holding(tenure)) = state.shards.get_mut(&shard) {
-            tenure.stage.closing = true;
-            effects.extend(with_shard(state, shard, now, flush_step));
-        } else {
-            state.shards.remove(&shard);
-        }
-    }
-    effects
-}
-
-fn flush_step(
-    entry: ShardEntry,
-    context: &mut OwnerContext<'_>,
-) -> Result<ShardEntry, Box<ShardTenure<Holding>>> {
-    Ok(match entry {
-        ShardEntry::Holding(mut tenure) => {
-            owner::sweep(&mut tenure, context);
-            owner::resend_copies(&mut tenure, context);
-            owner::flush(&mut tenure, context);
-            ShardEntry::Holding(tenure)
-        }
-        other => owner::taking_tick(other, context),
-    })
-}
-
 fn tick(state: &mut ClaimState, now: LocalTime) -> Vec<ClaimEffect> {
     let mut effects = Vec::new();
     let tickets: Vec<ClaimTicket> = state.tickets.keys().copied().collect();
@@ -483,25 +269,3 @@
     effects.extend(finish_release(state));
     effects
 }
-
-fn release(state: &mut ClaimState, now: LocalTime) -> Vec<ClaimEffect> {
-    state.releasing = true;
-    let mut effects = close_others(state, &[], now);
-    effects.extend(finish_release(state));
-    effects
-}
-
-/// Drops the shards whose object holds everything.
-fn finish_release(state: &mut ClaimState) -> Vec<ClaimEffect> {
-    let before = state.shards.len();
-    state.shards.retain(|_, entry| match entry {
-        ShardEntry::Holding(tenure) => !owner::release_done(&tenure.stage),
-        ShardEntry::Reading(_) | ShardEntry::Collecting(_) => true,
-    });
-    let done = state.releasing && state.shards.is_empty();
-    if done && before > 0 {
-        vec![ClaimEffect::Released]
-    } else {
-        Vec::new()
-    }
-}
--- /dev/null
+++ b/crates/clementinepond_decide/src/claim/shard_step.rs
@@ -0,0 +1,129 @@
+//! One step on one shard, and what becomes of the claims of a lost shard.
+
+use super::effect::ClaimEffect;
+use super::key::ShardNumber;
+use super::owner::{self, Holding, OwnerContext, ShardEntry, ShardTenure};
+use super::placement::rank_members;
+use super::replica::{HeldCopy, ReplicaShard};
+use super::state::ClaimState;
+use clementinepond_types::{LocalTime, VmId};
+
+/// Runs one step on a shard and puts its next stage back.
+pub(crate) fn with_shard(
+    state: &mut ClaimState,
+    shard: ShardNumber,
+    now: LocalTime,
+    step: impl FnOnce(
+        ShardEntry,
+        &mut OwnerContext<'_>,
+    ) -> Result<ShardEntry, Box<ShardTenure<Holding>>>,
+) -> Vec<ClaimEffect> {
+    let Some(entry) = state.shards.remove(&shard) else {
+        return Vec::new();
+    };
+    let others = others(state, shard);
+    let epoch = state
+        .home_roster()
+        .map(|roster| roster.epoch)
+        .unwrap_or_default();
+    let mut context = OwnerContext {
+        settings: &state.settings,
+        vm: &state.vm,
+        incarnation: state.incarnation,
+        writes: &mut state.writes,
+        epoch,
+        others,
+        now,
+        effects: Vec::new(),
+    };
+    let outcome = step(entry, &mut context);
+    let entry = match outcome {
+        Ok(entry) => Ok(entry),
+        Err(tenure) => {
+            let next = owner::deposed(&tenure, &mut context);
+            Err((tenure, next))
+        }
+    };
+    let effects = context.effects;
+    let entry = match entry {
+        Ok(entry) => entry,
+        Err((tenure, next)) => {
+            surrender(state, *tenure, 0, now);
+            if state.releasing || state.owner(shard).as_ref() != Some(&state.vm) {
+                return effects;
+            }
+            next
+        }
+    };
+    if let ShardEntry::Holding(tenure) = &entry
+        && tenure.stage.activated
+    {
+        // The object holds what this VM kept for the former owner.
+        state.replicas.remove(&shard);
+    }
+    state.shards.insert(shard, entry);
+    effects
+}
+
+fn others(state: &ClaimState, shard: ShardNumber) -> Vec<VmId> {
+    let members = state
+        .home_roster()
+        .map_or(&[][..], |roster| &roster.members);
+    let mut ranked = rank_members(shard, members);
+    ranked.retain(|vm| *vm != state.vm);
+    ranked
+}
+
+/// Keeps the claims of a lost shard for its next owner.
+fn surrender(state: &mut ClaimState, tenure: ShardTenure<Holding>, promised: u64, now: LocalTime) {
+    let stage = tenure.stage;
+    if !stage.activated {
+        // Nothing was granted by copies in this term.
+        return;
+    }
+    let records = stage
+        .active
+        .iter()
+        .map(|(key, record)| {
+            let held = HeldCopy {
+                record: record.to_copy(*key, now),
+                received_at: now,
+            };
+            (*key, held)
+        })
+        .collect();
+    let replica = ReplicaShard {
+        term: stage.term,
+        promised: promised.max(stage.term),
+        records,
+    };
+    state.replicas.insert(tenure.shard, replica);
+}
+
+/// Stops granting in a shard that a newer owner takes over.
+pub(crate) fn step_down(state: &mut ClaimState, shard: ShardNumber, term: u64, now: LocalTime) {
+    let Some(ShardEntry::Holding(tenure)) = state.shards.get(&shard) else {
+        return;
+    };
+    if tenure.stage.term >= term {
+        return;
+    }
+    if let Some(ShardEntry::Holding(tenure)) = state.shards.remove(&shard) {
+        surrender(state, *tenure, term, now);
+    }
+}
+
+pub(crate) fn flush_step(
+    entry: ShardEntry,
+    context: &mut OwnerContext<'_>,
+) -> Result<ShardEntry, Box<ShardTenure<Holding>>> {
+    Ok(match entry {
+        ShardEntry::Holding(mut tenure) => {
+            owner::sweep(&mut tenure, context);
+            owner::resend_copies(&mut tenure, context);
+            owner::flush(&mut tenure, context);
+            ShardEntry::Holding(tenure)
+        }
+        other => owner::taking_tick(other, context),
+    })
+}
