--- a/crates/clementinepond_decide/src/configuration/reduce.rs
+++ b/crates/clementinepond_decide/src/configuration/reduce.rs
@@ -82,7 +82,7 @@
             version,
             update,
             subtree,
-        } => update_received(state, &from, version, update, &subtree, effects),
+        } => update_received(state, &from, version, &update, &subtree, effects),
         ConfigurationMessage::Request { have } => answer_request(state, from, have, effects),
         ConfigurationMessage::Withdrawals { entries, subtree } => {
             withdrawal::received(state, from, &entries, &subtree, effects);
@@ -90,8 +90,8 @@
         ConfigurationMessage::WithdrawalsKept { entries } => {
             withdrawal::kept(state, &from, &entries);
         }
-        ConfigurationMessage::WithdrawalsRequest => {
-            withdrawal::answer_request(state, from, effects);
+        ConfigurationMessage::WithdrawalsRequest { groups } => {
+            withdrawal::answer_request(state, from, &groups, effects);
         }
     }
 }
--- a/crates/clementinepond_decide/src/limit/loan.rs
+++ b/crates/clementinepond_decide/src/limit/loan.rs
@@ -2,7 +2,7 @@
 
 use super::account::{AccountState, AskRound};
 use super::event::PartFraction;
-use super::message::{LoanPoll, LoanStep, PartLoan};
+use super::message::{KeptCapacity, LoanPoll, LoanStep, PartLoan};
 use super::outbox::EffectOutbox;
 use super::settings::LimitMutation;
 use super::slice::{BorrowedParts, LentParts};
@@ -29,6 +29,7 @@
         && moment <= now
     {
         state.start_wait = StartWait::Over;
+        state.rights.is_usable = true;
         state.resize_where(now, |_| true);
     }
 }
@@ -157,11 +158,27 @@
         step: poll.step,
         rosters: lent.rosters.clone(),
         fraction: state.rights.fraction,
-        kept: lent.kept.clone().into_iter().collect(),
+        kept: lent
+            .kept
+            .iter()
+            .map(|(account, capacity)| KeptCapacity {
+                account: account.clone(),
+                capacity: *capacity,
+            })
+            .collect(),
         time_left: span,
     };
     record(state, lent, now);
     outbox.lend_parts(from, loan);
+    poll_along(state, from, now, outbox);
+}
+
+/// Sends this VM's own poll along with a loan when it is due soon.
+fn poll_along(state: &mut LimitState, vm: &VmId, now: LocalTime, outbox: &mut EffectOutbox) {
+    let soon = now + state.poll_interval().fraction(1, 2);
+    if state.polls.get(vm).is_some_and(|poll| poll.next_at <= soon) {
+        poll(state, vm, now, outbox);
+    }
 }
 
 fn is_stale(state: &LimitState, from: &VmId, poll: &LoanPoll) -> bool {
@@ -270,7 +287,11 @@
     let Some(deadline) = loan_deadline(state, from, &loan, now) else {
         return;
     };
-    let kept: BTreeMap<AccountId, TokenCount> = loan.kept.into_iter().collect();
+    let kept: BTreeMap<AccountId, TokenCount> = loan
+        .kept
+        .into_iter()
+        .map(|kept| (kept.account, kept.capacity))
+        .collect();
     let rights = &mut state.rights;
     if let Some(current) = rights.borrowed.get_mut(from) {
         if current.step.counter >= loan.step.counter {
--- a/crates/clementinepond_decide/src/limit/outbox.rs
+++ b/crates/clementinepond_decide/src/limit/outbox.rs
@@ -124,6 +124,7 @@
         account: id.clone(),
         channel: channel.id,
         step: channel.next_step(now),
+        granted: channel.granted(),
         returned_capacity: channel.returned_capacity,
         returned_level: channel.returned_level,
         items,
@@ -157,19 +158,22 @@
 ) -> Option<LotGrant> {
     let account = state.accounts.get(id)?;
     let committed = account.bucket.lent() + account.bucket.held();
+    let horizon = now + state.lot_span();
     let assured = state
         .rights
-        .assured_until(id, account, committed, &state.settings);
-    let deadline = assured.min(now + state.settings.lot_span);
+        .assured_until(id, account, committed, horizon, &state.settings);
+    let deadline = assured.min(horizon);
     let account = state.accounts.get_mut(id)?;
     let hint = account.hint();
     let lent = account.lent.get_mut(&(to.clone(), channel))?;
-    lent.deadline = lent.deadline.max(deadline);
+    let hint = lent.is_gathering.then_some(hint);
+    lent.grant(TokenCount::ZERO, deadline);
     Some(LotGrant {
         account: id.clone(),
         channel,
+        lender: state.incarnation,
         step: lent.step,
-        granted: lent.granted,
+        granted: lent.granted(),
         time_left: now.until(deadline),
         denied,
         hint,
--- a/crates/clementinepond_decide/src/limit/settings.rs
+++ b/crates/clementinepond_decide/src/limit/settings.rs
@@ -6,6 +6,9 @@
 /// One million, the whole of a drift bound.
 const MILLION: u64 = 1_000_000;
 
+/// Share of the members that may have left since a grant, as a divisor.
+const SHRINK_MARGIN: usize = 4;
+
 /// Guard that a test removes to show that it is needed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum LimitMutation {
@@ -38,6 +41,10 @@
     ForgetEarlierRoster,
     /// A restarted VM uses its slice at once.
     SkipStartWait,
+    /// A restarted VM that leaves does not wait for its earlier grants.
+    ReleaseEarly,
+    /// A restarted lender extends what its earlier process lent.
+    TrustRestartedLender,
     /// An older table of accounts replaces a newer one.
     AcceptOlderTable,
     /// A lender keeps its slice while it is lent.
@@ -52,7 +59,7 @@
     pub queue_wait: TimeSpan,
     /// Longest time between an admission and its dispatch.
     pub dispatch_wait: TimeSpan,
-    /// Life of a lot.
+    /// Longest life of a lot.
     pub lot_span: TimeSpan,
     /// Shortest life for which a lot is given.
     pub lot_span_floor: TimeSpan,
@@ -84,10 +91,10 @@
         Self {
             queue_wait: TimeSpan::from_millis(300),
             dispatch_wait: TimeSpan::from_secs(1),
-            lot_span: TimeSpan::from_secs(4),
+            lot_span: TimeSpan::from_secs(10),
             lot_span_floor: TimeSpan::from_millis(100),
-            loan_interval: TimeSpan::from_secs(1),
-            loan_interval_per_peer: TimeSpan::from_millis(50),
+            loan_interval: TimeSpan::from_secs(2),
+            loan_interval_per_peer: TimeSpan::from_millis(100),
             loan_intervals: 3,
             retry_interval: TimeSpan::from_millis(40),
             report_interval: TimeSpan::from_millis(500),
@@ -116,12 +123,26 @@
         TimeSpan::from_micros(interval.saturating_mul(self.loan_intervals))
     }
 
+    /// Returns the life of a lot in a data centre of `members` VMs.
+    ///
+    /// It is shorter than what a part loan that is renewed in time has left,
+    /// so that the loans that back a lot outlive it.
+    #[must_use]
+    pub fn lot_span(&self, members: usize) -> TimeSpan {
+        let interval = self.poll_interval(members);
+        let renewed = interval.fraction(self.loan_intervals.saturating_sub(1), 1);
+        let sure = renewed.saturating_sub(interval.fraction(1, 10));
+        sure.min(self.lot_span)
+    }
+
     /// Returns the time for which any grant may outlive a stopped VM.
     ///
-    /// The roster's hold-off before the parts of a VM move must be longer.
+    /// The roster's hold-off before the parts of a VM move must be longer. A
+    /// data centre may have shrunk by a fifth since the grant was made.
     #[must_use]
     pub fn longest_grant(&self, members: usize) -> TimeSpan {
-        let longest = self.loan_span(members).max(self.lot_span);
+        let earlier = members.saturating_add(members / SHRINK_MARGIN);
+        let longest = self.loan_span(earlier);
         longest + longest.fraction(2 * self.clock_drift_ppm, MILLION)
     }
 
--- a/crates/clementinepond_decide/src/roster/plan.rs
+++ b/crates/clementinepond_decide/src/roster/plan.rs
@@ -30,7 +30,7 @@
     give_out(state, &mut table, now);
     let is_changed = known.as_ref() != Some(&table);
     let is_restored = state.table_missing && state.own_entry().is_some();
-    if !is_changed && !is_restored && !wants_confirmation(state) {
+    if !is_changed && !is_restored && !wants_confirmation(state, now) {
         return None;
     }
     table.epoch = table.epoch.next();
@@ -52,9 +52,9 @@
     }
 }
 
-/// Returns whether a member writes an unchanged table to end a suspension.
-fn wants_confirmation(state: &RosterState) -> bool {
-    state.stage == MembershipStage::Member && state.suspended.is_some()
+/// Returns whether a member writes an unchanged table to show that it runs.
+fn wants_confirmation(state: &RosterState, now: LocalTime) -> bool {
+    state.stage == MembershipStage::Member && state.needs_contact(now)
 }
 
 fn plan_own(state: &RosterState, table: &mut RosterTable, now: LocalTime) {
@@ -169,7 +169,6 @@
 
 /// Returns whether a VM has been absent and silent for the hold-off.
 fn is_gone(state: &RosterState, vm: &VmId, now: LocalTime) -> bool {
-    let hold_off = state.settings.removal_hold_off();
     let Some(&absent) = state.absent.get(vm) else {
         return false;
     };
@@ -177,8 +176,9 @@
         return true;
     }
     let heard = state.heard.moment(vm).unwrap_or(LocalTime::NEVER);
-    let is_silent = heard < LocalTime::NEVER && now >= heard + hold_off;
-    now >= absent + hold_off && (is_silent || state.mutated(RosterMutation::RemoveDespiteHeartbeat))
+    let is_silent = heard < LocalTime::NEVER && now >= heard + state.settings.removal_silence();
+    let is_absent = now >= absent + state.settings.removal_absence();
+    is_absent && (is_silent || state.mutated(RosterMutation::RemoveDespiteHeartbeat))
 }
 
 /// Gives the parts that nobody holds to live members.
@@ -194,6 +194,7 @@
     }
     let mut eligible = state.live_members(now);
     eligible.extend(state.joiners.keys().cloned());
+    eligible.retain(|vm| !state.leaving.contains(vm));
     if state.is_leaving() {
         eligible.remove(&state.own.vm);
     } else {
