--- a/crates/clementinepond_decide/src/claim/assignment.rs
+++ b/crates/clementinepond_decide/src/claim/assignment.rs
@@ -50,7 +50,7 @@
 }
 
 /// Takes the shards that the roster gives to this VM and closes the others.
-fn assign(state: &mut ClaimState, now: LocalTime) -> Vec<ClaimEffect> {
+pub(crate) fn assign(state: &mut ClaimState, now: LocalTime) -> Vec<ClaimEffect> {
     let assigned = state.assigned_shards();
     let mut effects = close_others(state, &assigned, now);
     for shard in assigned {
--- a/crates/clementinepond_decide/src/claim/owner/shard.rs
+++ b/crates/clementinepond_decide/src/claim/owner/shard.rs
@@ -20,6 +20,8 @@
     pub(crate) epoch: Epoch,
     /// Other VMs of the data centre, in the shard's order.
     pub(crate) others: Vec<VmId>,
+    /// VMs of the other data centres.
+    pub(crate) strangers: Vec<VmId>,
     pub(crate) now: LocalTime,
     pub(crate) effects: Vec<ClaimEffect>,
 }
--- a/crates/clementinepond_decide/src/claim/owner/taking.rs
+++ b/crates/clementinepond_decide/src/claim/owner/taking.rs
@@ -49,9 +49,10 @@
         ReadReply::Missing => None,
         ReadReply::Unavailable => return pause(tenure.shard, context),
     };
-    let newer = found
-        .as_ref()
-        .is_some_and(|found| found.value.epoch > context.epoch);
+    // Epochs of two data centres cannot be compared.
+    let newer = found.as_ref().is_some_and(|found| {
+        !context.strangers.contains(&found.value.holder) && found.value.epoch > context.epoch
+    });
     if newer {
         // A later roster gave the shard to another VM; wait for that roster.
         return pause(tenure.shard, context);
@@ -112,7 +113,10 @@
 fn mark_gone(stage: &mut Collecting, context: &OwnerContext<'_>) {
     for (witness, progress) in &mut stage.witnesses {
         let replaced = witness.vm == *context.vm && witness.incarnation != context.incarnation;
-        let left = witness.vm != *context.vm && !context.others.contains(&witness.vm);
+        // A shard may have come from another data centre.
+        let left = witness.vm != *context.vm
+            && !context.others.contains(&witness.vm)
+            && !context.strangers.contains(&witness.vm);
         if (replaced || left) && *progress != WitnessProgress::Complete {
             *progress = WitnessProgress::Forgotten;
         }
--- a/crates/clementinepond_decide/src/claim/reduce.rs
+++ b/crates/clementinepond_decide/src/claim/reduce.rs
@@ -1,7 +1,7 @@
 //! From an event to effects.
 
 use super::asker;
-use super::assignment::{finish_release, release, roster_changed};
+use super::assignment::{assign, finish_release, release, roster_changed};
 use super::effect::ClaimEffect;
 use super::event::ClaimEvent;
 use super::key::{ClaimKey, ShardNumber};
--- a/crates/clementinepond_decide/src/claim/shard_step.rs
+++ b/crates/clementinepond_decide/src/claim/shard_step.rs
@@ -22,6 +22,7 @@
         return Vec::new();
     };
     let others = others(state, shard);
+    let strangers = strangers(state);
     let epoch = state
         .home_roster()
         .map(|roster| roster.epoch)
@@ -33,6 +34,7 @@
         writes: &mut state.writes,
         epoch,
         others,
+        strangers,
         now,
         effects: Vec::new(),
     };
@@ -74,6 +76,14 @@
     ranked
 }
 
+fn strangers(state: &ClaimState) -> Vec<VmId> {
+    let rosters = state.rosters.iter();
+    let foreign = rosters.filter(|(data_centre, _)| **data_centre != state.data_centre);
+    foreign
+        .flat_map(|(_, roster)| roster.members.iter().cloned())
+        .collect()
+}
+
 /// Keeps the claims of a lost shard for its next owner.
 fn surrender(state: &mut ClaimState, tenure: ShardTenure<Holding>, promised: u64, now: LocalTime) {
     let stage = tenure.stage;
