--- a/crates/clementinepond_model/src/configuration/invariant.rs
+++ b/crates/clementinepond_model/src/configuration/invariant.rs
@@ -9,7 +9,7 @@
             return Some("a version in force was replaced by an older one");
         }
         if vm.in_force.version > 0 && vm.in_force.version < vm.floor {
-            return Some("a restarted VM went back to a version older than that of its peers");
+            return Some("a restarted VM went back to a version older than that of a live peer");
         }
         if vm.in_force.version > 0 && !vm.in_force.genuine {
             return Some("a text that no operator wrote is in force");
--- a/crates/clementinepond_model/src/configuration/step.rs
+++ b/crates/clementinepond_model/src/configuration/step.rs
@@ -198,6 +198,7 @@
             cut_off: own.cut_off,
             ..VmState::default()
         };
+        lower_floors(&mut after);
         next.push((ConfigurationStep::Restart(vm), after));
     }
     if own.cut_off {
@@ -213,3 +214,15 @@
         next.push((ConfigurationStep::CutOff(vm), after));
     }
 }
+
+/// Expects of restarted VMs no more than what a live peer in reach has
+/// in force.
+fn lower_floors(state: &mut FleetState) {
+    let peers = state.vms.clone();
+    for (vm, own) in state.vms.iter_mut().enumerate() {
+        let others = peers.iter().enumerate();
+        let reached = others.filter(|(index, peer)| *index != vm && !peer.cut_off);
+        let highest = reached.map(|(_, peer)| peer.in_force.version).max();
+        own.floor = own.floor.min(highest.unwrap_or_default());
+    }
+}
--- a/crates/clementinepond_model/src/plan/mod.rs
+++ b/crates/clementinepond_model/src/plan/mod.rs
@@ -7,8 +7,9 @@
 //! it. The endpoint checks fencing numbers or does not; both are explored.
 //! The endpoint itself refuses nothing for lack of memory.
 //!
-//! Time is counted in ticks. At one tick of a run, one VM's clock may stand
-//! still; that is the drift. A VM pauses by doing nothing while time passes.
+//! Time is counted in ticks. At one tick of a run, the first holder's clock
+//! may stand still; that is the drift. A VM pauses by doing nothing while time
+//! passes.
 //!
 //! Assumed: a connection is closed a margin after the deadline of the order
 //! that was sent on it, so that no copy of an order arrives later.
--- a/crates/clementinepond_model/src/plan/network.rs
+++ b/crates/clementinepond_model/src/plan/network.rs
@@ -170,7 +170,7 @@
             next.push((PlanStep::RestartEndpoint, after));
         }
         for vm in 0..state.vms.len() {
-            let replaced = VmState::watching(self.first_sight(state));
+            let replaced = VmState::watching(self.first_sight(state, vm));
             if state.left.crashes == 0 || state.vms[vm] == replaced {
                 continue;
             }
