--- a/crates/clementinepond_decide/src/crash/loss.rs
+++ b/crates/clementinepond_decide/src/crash/loss.rs
@@ -1,6 +1,7 @@
 //! Lost endpoint processes and what became of them.
 
 use super::identity::{EndpointIncarnation, EndpointLoss};
+use super::message::LossReport;
 use super::settings::{CrashMutation, CrashSettings};
 use clementinepond_types::{EndpointId, LocalTime};
 use serde::{Deserialize, Serialize};
@@ -34,8 +35,10 @@
 pub(crate) struct LossEntry {
     pub(crate) fate: LossFate,
     pub(crate) broken_at: LocalTime,
-    pub(crate) judged_at: LocalTime,
-    /// Whether a refused request explains the loss.
+    /// Whether a refused request explains the loss, for the endpoint's record.
+    ///
+    /// The other requests that were there stay suspects until they complete,
+    /// since the refused one need not be the culprit.
     pub(crate) explained: bool,
 }
 
@@ -44,7 +47,6 @@
         Self {
             fate,
             broken_at: now,
-            judged_at: now,
             explained: false,
         }
     }
@@ -58,29 +60,20 @@
 
 impl LossTable {
     /// Merges knowledge of a loss; returns whether it was news.
-    pub(crate) fn merge(
-        &mut self,
-        loss: &EndpointLoss,
-        fate: LossFate,
-        settings: &CrashSettings,
-        now: LocalTime,
-    ) -> bool {
+    pub(crate) fn merge(&mut self, loss: &EndpointLoss, fate: LossFate, now: LocalTime) -> bool {
         let Some(entry) = self.entries.get_mut(loss) else {
             self.entries.insert(loss.clone(), LossEntry::new(fate, now));
             return true;
         };
-        // A process that answered again can break anew, but old news of the
-        // first break must not count.
-        let is_dismissed = entry.fate == LossFate::Alive;
-        let breaks_anew = is_dismissed && now >= entry.judged_at + settings.pending_limit;
-        if breaks_anew && fate < LossFate::Alive {
+        // A process that answered can break anew. If this is old news of its
+        // first break, the next report dismisses it again.
+        if entry.fate == LossFate::Alive && fate == LossFate::Pending {
             *entry = LossEntry::new(fate, now);
             return true;
         }
         let is_news = fate > entry.fate;
         if is_news {
             entry.fate = fate;
-            entry.judged_at = now;
         }
         is_news
     }
@@ -111,6 +104,18 @@
         self.entries.get(loss)
     }
 
+    /// Returns what is known of losses, for another VM.
+    pub(crate) fn reports(&self, losses: &[EndpointLoss]) -> Vec<LossReport> {
+        let known = losses.iter().filter_map(|loss| {
+            let entry = self.entries.get(loss)?;
+            Some(LossReport {
+                loss: loss.clone(),
+                fate: entry.fate,
+            })
+        });
+        known.collect()
+    }
+
     pub(crate) fn explain(&mut self, loss: &EndpointLoss) {
         if let Some(entry) = self.entries.get_mut(loss) {
             entry.explained = true;
--- a/crates/clementinepond_decide/src/limit/lot.rs
+++ b/crates/clementinepond_decide/src/limit/lot.rs
@@ -18,6 +18,7 @@
 #[derive(Debug)]
 pub(super) struct BorrowedChannel {
     pub(super) id: ChannelId,
+    lender: Option<u32>,
     step: u32,
     sent: VecDeque<(u32, LocalTime)>,
     granted: TokenCount,
@@ -31,6 +32,7 @@
     pub(super) fn new(id: ChannelId, now: LocalTime) -> Self {
         Self {
             id,
+            lender: None,
             step: 0,
             sent: VecDeque::new(),
             granted: TokenCount::ZERO,
@@ -46,6 +48,16 @@
         self.granted.saturating_sub(self.returned_capacity)
     }
 
+    pub(super) fn granted(&self) -> TokenCount {
+        self.granted
+    }
+
+    /// Returns whether the process that lends is the one that answered first.
+    pub(super) fn is_same_lender(&mut self, grant: &LotGrant, settings: &LimitSettings) -> bool {
+        let lender = *self.lender.get_or_insert(grant.lender);
+        lender == grant.lender || settings.has(LimitMutation::TrustRestartedLender)
+    }
+
     pub(super) fn deadline(&self) -> Option<LocalTime> {
         self.deadline
     }
@@ -111,11 +123,15 @@
 /// Lender's end of a channel.
 #[derive(Debug)]
 pub(super) struct LentChannel {
-    pub(super) granted: TokenCount,
+    granted: TokenCount,
     returned_capacity: TokenCount,
     returned_level: TokenCount,
     pub(super) step: u32,
+    /// Latest moment until which the borrower may count on the channel.
     pub(super) deadline: LocalTime,
+    forget_at: LocalTime,
+    /// Whether the last report wanted tokens at once.
+    pub(super) is_gathering: bool,
     pub(super) decided: BTreeSet<TicketId>,
 }
 
@@ -127,22 +143,40 @@
 }
 
 impl LentChannel {
-    pub(super) fn new(now: LocalTime) -> Self {
+    pub(super) fn new(now: LocalTime, forget_at: LocalTime) -> Self {
         Self {
             granted: TokenCount::ZERO,
             returned_capacity: TokenCount::ZERO,
             returned_level: TokenCount::ZERO,
             step: 0,
             deadline: now,
+            forget_at,
+            is_gathering: false,
             decided: BTreeSet::new(),
         }
     }
 
+    pub(super) fn granted(&self) -> TokenCount {
+        self.granted
+    }
+
     /// Returns capacity that is lent and not yet returned.
     pub(super) fn outstanding(&self) -> TokenCount {
         self.granted.saturating_sub(self.returned_capacity)
     }
 
+    /// Returns whether the borrower can no longer count on the channel.
+    pub(super) fn is_over(&self, now: LocalTime) -> bool {
+        let is_unused = self.granted == TokenCount::ZERO;
+        self.deadline <= now && (!is_unused || self.forget_at <= now)
+    }
+
+    /// Adds a grant that lasts until `deadline`.
+    pub(super) fn grant(&mut self, amount: TokenCount, deadline: LocalTime) {
+        self.granted += amount;
+        self.deadline = self.deadline.max(deadline);
+    }
+
     /// Takes the borrower's totals in; returns what is new in them.
     pub(super) fn credit(
         &mut self,
--- a/crates/clementinepond_decide/src/limit/reduce.rs
+++ b/crates/clementinepond_decide/src/limit/reduce.rs
@@ -12,7 +12,7 @@
 use super::settings::LimitMutation;
 use super::state::{LimitState, StartWait};
 use super::{effect::LimitEffect, loan};
-use clementinepond_types::{AccountId, LocalTime, TokenCount, VmId};
+use clementinepond_types::{AccountId, LocalTime, TimeSpan, TokenCount, VmId};
 
 /// Handles one event at `now` on the local clock.
 pub fn reduce(state: &mut LimitState, event: LimitEvent, now: LocalTime) -> Vec<LimitEffect> {
@@ -34,11 +34,21 @@
         LimitEvent::PartsChanged(view) => change_parts(state, view, now, &mut outbox),
         LimitEvent::AccountsChanged(table) => change_accounts(state, table, now, &mut outbox),
         LimitEvent::Tick => periodic::tick(state, now, &mut outbox),
-        LimitEvent::Release => state.releasing = true,
+        LimitEvent::Release => release(state, now),
     }
     outbox.flush(state, now)
 }
 
+/// Stops lending; an earlier process of this VM may have lent before.
+fn release(state: &mut LimitState, now: LocalTime) {
+    state.releasing = true;
+    if state.start_wait == StartWait::Unknown {
+        let members = state.rights.members().map_or(1, MemberList::len);
+        let wait = state.settings.longest_grant(members);
+        state.start_wait = StartWait::Until(now + wait);
+    }
+}
+
 fn receive(
     state: &mut LimitState,
     from: &VmId,
@@ -79,7 +89,10 @@
         .collect();
     let list = MemberList::new(&view.members);
     if state.start_wait == StartWait::Unknown {
-        let wait = state.settings.longest_grant(list.len());
+        let mut wait = state.settings.longest_grant(list.len());
+        if state.settings.has(LimitMutation::SkipStartWait) {
+            wait = TimeSpan::ZERO;
+        }
         state.start_wait = StartWait::Until(now + wait);
     }
     let is_moved = state.rights.current != list.digest();
--- a/crates/clementinepond_decide/src/roster/contact.rs
+++ b/crates/clementinepond_decide/src/roster/contact.rs
@@ -6,8 +6,8 @@
 //! table itself, which makes a remover's conditional update fail, or been in
 //! contact with members for the settle time, which brings it their news.
 
-use super::{ContactRule, RosterMutation, RosterState};
-use clementinepond_types::{LocalTime, PartCount};
+use super::{ContactRule, MembershipStage, RosterMutation, RosterState};
+use clementinepond_types::{LocalTime, PartCount, VmId};
 
 impl RosterState {
     /// Notes that the process runs; detects a pause.
@@ -30,13 +30,24 @@
             return LocalTime::NEVER;
         }
         let running = self.last_run + self.settings.validity;
+        running.min(self.contact_lapse())
+    }
+
+    /// Returns the moment at which the contact that the rule asks for lapses.
+    fn contact_lapse(&self) -> LocalTime {
         match self.settings.contact_rule {
-            ContactRule::AfterPause => running,
-            ContactRule::AnyPeer => running.min(self.contact_until(1)),
-            ContactRule::Majority => running.min(self.contact_until(self.others().div_ceil(2))),
+            ContactRule::AfterPause => LocalTime::NEVER,
+            ContactRule::AnyPeer => self.contact_until(1),
+            ContactRule::Majority => self.contact_until(self.others().div_ceil(2)),
         }
     }
 
+    /// Returns whether an own update of the table is needed as contact.
+    pub(super) fn needs_contact(&self, now: LocalTime) -> bool {
+        let soon = now + self.settings.validity.fraction(1, 2);
+        self.suspended.is_some() || self.contact_lapse() < soon
+    }
+
     fn others(&self) -> usize {
         self.own_table()
             .map_or(0, |object| object.value.members.len().saturating_sub(1))
@@ -47,7 +58,7 @@
         let Some(object) = self.own_table() else {
             return LocalTime::ORIGIN;
         };
-        if self.others() == 0 {
+        if self.others() == 0 && self.mutated(RosterMutation::TrustWhenAlone) {
             return LocalTime::NEVER;
         }
         let mut moments: Vec<LocalTime> = self
@@ -68,7 +79,7 @@
     }
 
     /// Notes that a peer with no newer table acknowledged a probe.
-    pub(super) fn note_contact(&mut self, vm: &clementinepond_types::VmId, sent: LocalTime) {
+    pub(super) fn note_contact(&mut self, vm: &VmId, sent: LocalTime) {
         let known = self.contacts.entry(vm.clone()).or_insert(sent);
         *known = sent.max(*known);
         self.end_suspension();
@@ -122,7 +133,7 @@
     pub(super) fn is_leaving(&self) -> bool {
         matches!(
             self.stage,
-            super::MembershipStage::Releasing | super::MembershipStage::Released
+            MembershipStage::Releasing | MembershipStage::Released
         )
     }
 }
--- a/crates/clementinepond_decide/src/roster/reduce.rs
+++ b/crates/clementinepond_decide/src/roster/reduce.rs
@@ -52,8 +52,10 @@
     consider_release(state, now);
     drive_table(state, now, effects);
     drive_shares(state, now, effects);
-    drive_round(state, now, effects);
-    announce_members(state, now, effects);
+    if now >= state.next_round {
+        drive_round(state, now, effects);
+        announce_members(state, now, effects);
+    }
 }
 
 fn start_shutdown(state: &mut RosterState, effects: &mut Vec<RosterEffect>) {
@@ -71,7 +73,6 @@
     if let Some(announced) = &state.announced
         && announced.change == change
     {
-        state.stopped_change = change;
         state.outstanding_parts = announced.parts;
         state.outstanding_share = announced.share;
     }
@@ -92,8 +93,9 @@
     let is_changed = before.is_none_or(|before| before.parts != parts || before.share != share);
     let is_later = before.is_some_and(|before| {
         before.epoch != epoch
-            || before.deadline + state.settings.heartbeat_period <= deadline
             || deadline < before.deadline
+            || before.deadline + state.settings.heartbeat_period <= deadline
+                && before.deadline != deadline
     });
     if !is_changed && !is_later {
         return;
