--- a/crates/clementinepond_daemon/src/daemon/node_settings.rs
+++ b/crates/clementinepond_daemon/src/daemon/node_settings.rs
@@ -63,6 +63,8 @@
 fn limit_settings(settings: &VmSettings) -> LimitSettings {
     LimitSettings {
         queue_wait: settings.request.admission_wait,
+        // Leaves room for the drift of clocks.
+        grant_limit: settings.membership.loan_span.fraction(99, 100),
         lot_span: settings.limit.lot_span,
         loan_interval: settings.limit.loan_interval,
         ..LimitSettings::default()
--- a/crates/clementinepond_decide/src/limit/settings.rs
+++ b/crates/clementinepond_decide/src/limit/settings.rs
@@ -59,6 +59,8 @@
     pub queue_wait: TimeSpan,
     /// Longest time between an admission and its dispatch.
     pub dispatch_wait: TimeSpan,
+    /// Longest life of a part loan; the roster's hold-off rests on it.
+    pub grant_limit: TimeSpan,
     /// Longest life of a lot.
     pub lot_span: TimeSpan,
     /// Shortest life for which a lot is given.
@@ -91,6 +93,7 @@
         Self {
             queue_wait: TimeSpan::from_millis(300),
             dispatch_wait: TimeSpan::from_secs(1),
+            grant_limit: TimeSpan::from_secs(60),
             lot_span: TimeSpan::from_secs(10),
             lot_span_floor: TimeSpan::from_millis(100),
             loan_interval: TimeSpan::from_secs(2),
@@ -113,7 +116,10 @@
     pub fn poll_interval(&self, members: usize) -> TimeSpan {
         let peers = u64::try_from(members.saturating_sub(1)).unwrap_or(u64::MAX);
         let growth = self.loan_interval_per_peer.micros().saturating_mul(peers);
-        self.loan_interval.max(TimeSpan::from_micros(growth))
+        let longest = self.grant_limit.fraction(1, self.loan_intervals.max(1));
+        self.loan_interval
+            .max(TimeSpan::from_micros(growth))
+            .min(longest)
     }
 
     /// Returns the life of a part loan in a data centre of `members` VMs.
--- /dev/null
+++ b/crates/clementinepond_measure/src/experiment/capacity/node_load.rs
@@ -0,0 +1,352 @@
+//! One node reducer under the load of its control work.
+
+use clementinepond_decide::claim::ClaimSettings;
+use clementinepond_decide::configuration::{ConfigurationEvent, ConfigurationSettings};
+use clementinepond_decide::crash::{CrashSettings, RequestFingerprint};
+use clementinepond_decide::limit::{AccountLimit, AccountTable, LimitSettings};
+use clementinepond_decide::node::{
+    EndpointObservation, FleetView, NodeEffect, NodeEvent, NodeSettings, NodeState, reduce,
+};
+use clementinepond_decide::plan::{
+    ComputeLoad, EndpointReport, EndpointSpec, Incarnation, ModelReport, ModelSpec, ModelState,
+    ModelVersion, OrderNumber, PlacementCatalogue, PlanSettings, ReportNumber,
+};
+use clementinepond_decide::port::VersionedObject;
+use clementinepond_decide::request::{AttemptOutcome, RequestEvent, RequestPolicy, RequestProfile};
+use clementinepond_decide::roster::{
+    IncarnationId, RosterEvent, RosterMember, RosterSettings, RosterTable, UpdateNonce,
+    WatchAnswer, WatchChange,
+};
+use clementinepond_decide::route::{EndpointProfile, EndpointRole, RouteSettings, RouteTarget};
+use clementinepond_types::{
+    AccountId, DataCentreId, EndpointId, Epoch, FencingNumber, LocalTime, MemorySize, ModelId,
+    ObjectVersion, PartCount, PriorityClass, RequestTicket, TimeSpan, TokenCount, TokenRate, VmId,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+/// VMs of one data centre at the target size.
+const MEMBERS: usize = 98;
+/// Ticks of the node task a second.
+const TICKS_PER_SECOND: u64 = 50;
+/// Virtual seconds that are timed.
+const TIMED_SECONDS: u64 = 12;
+/// Virtual seconds before the timing starts.
+const WARM_UP_SECONDS: u64 = 4;
+/// Requests that are timed.
+const TIMED_REQUESTS: u64 = 2_000;
+/// Models that each endpoint holds.
+const MODELS_PER_ENDPOINT: usize = 4;
+const INCARNATION: u64 = 7;
+
+/// Numbers that the cost depends on.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LoadSize {
+    pub(super) accounts: usize,
+    pub(super) endpoints: usize,
+    pub(super) models: usize,
+    /// Endpoint reports read a second.
+    pub(super) readings: usize,
+}
+
+/// What the load costs.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LoadCost {
+    pub(super) core_share: f64,
+    pub(super) memory_mb: f64,
+}
+
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    match text.parse() {
+        Ok(name) => name,
+        Err(error) => unreachable!("{text}: {error:?}"),
+    }
+}
+
+fn vm(index: usize) -> VmId {
+    name(&format!("vm-{index}"))
+}
+
+fn model(index: usize) -> ModelId {
+    name(&format!("model-{index}"))
+}
+
+fn endpoint(index: usize) -> EndpointId {
+    name(&format!("endpoint-{index}"))
+}
+
+fn account(index: usize) -> AccountId {
+    name(&format!("account-{index}"))
+}
+
+fn data_centre() -> DataCentreId {
+    name("dc-1")
+}
+
+/// Measures the share of a core and the memory of one VM's control work.
+pub(super) fn measure(size: LoadSize, seed: u64) -> LoadCost {
+    let before = resident_mb();
+    let mut load = NodeLoad::new(size, seed);
+    load.run(WARM_UP_SECONDS);
+    let start = Instant::now();
+    load.run(TIMED_SECONDS);
+    let elapsed = start.elapsed().as_secs_f64();
+    LoadCost {
+        core_share: elapsed / TIMED_SECONDS as f64,
+        memory_mb: (resident_mb() - before).max(0.0),
+    }
+}
+
+/// Measures the reducer's time for one request, in microseconds.
+pub(super) fn request_cost(size: LoadSize, seed: u64) -> f64 {
+    let mut load = NodeLoad::new(size, seed);
+    load.run(WARM_UP_SECONDS + 30);
+    let start = Instant::now();
+    for number in 1..=TIMED_REQUESTS {
+        load.serve(number);
+    }
+    start.elapsed().as_secs_f64() * 1e6 / TIMED_REQUESTS as f64
+}
+
+fn resident_mb() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<f64>().ok());
+    kilobytes.unwrap_or(0.0) / 1024.0
+}
+
+struct NodeLoad {
+    state: NodeState,
+    size: LoadSize,
+    now: LocalTime,
+    random: ChaCha8Rng,
+    next_reading: usize,
+    report_number: u64,
+}
+
+impl NodeLoad {
+    fn new(size: LoadSize, seed: u64) -> Self {
+        let now = LocalTime::from_micros(1_000_000);
+        let mut load = Self {
+            state: NodeState::new(settings(), now),
+            size,
+            now,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            next_reading: 0,
+            report_number: 0,
+        };
+        load.take(NodeEvent::Roster(RosterEvent::TablesWatched(tables())));
+        load.take(NodeEvent::FleetChanged(Box::new(view(size))));
+        load.take(NodeEvent::Configuration(ConfigurationEvent::Applied {
+            version: ObjectVersion::new(1),
+        }));
+        for _ in 0..size.endpoints {
+            load.read_one();
+        }
+        load
+    }
+
+    fn take(&mut self, event: NodeEvent) -> Vec<NodeEffect> {
+        reduce(&mut self.state, event, self.now)
+    }
+
+    fn run(&mut self, seconds: u64) {
+        let step = TimeSpan::from_micros(1_000_000 / TICKS_PER_SECOND);
+        let per_tick = self.size.readings.div_ceil(TICKS_PER_SECOND as usize);
+        let mut readings = 0;
+        for tick in 0..seconds * TICKS_PER_SECOND {
+            self.now = self.now + step;
+            let seed = self.random.random();
+            self.take(NodeEvent::Tick { seed });
+            let due = self.size.readings as u64 * (tick + 1) / TICKS_PER_SECOND;
+            for _ in 0..per_tick {
+                if readings < due {
+                    readings += 1;
+                    self.read_one();
+                }
+            }
+        }
+    }
+
+    fn read_one(&mut self) {
+        let index = self.next_reading % self.size.endpoints;
+        self.next_reading += 1;
+        self.report_number += 1;
+        let observation = EndpointObservation {
+            report: report(index, self.report_number, self.size.models),
+            running: 3,
+            queued: 0,
+            asked_at: self.now,
+        };
+        self.take(NodeEvent::EndpointReported {
+            endpoint: endpoint(index),
+            observation: Box::new(observation),
+        });
+    }
+
+    fn serve(&mut self, number: u64) {
+        let ticket = RequestTicket::new(number);
+        let index = number as usize;
+        let model = model(index % self.size.models);
+        let account = account(index % self.size.accounts);
+        let profile = RequestProfile {
+            fingerprint: RequestFingerprint::new(&account, &model, &number.to_le_bytes()),
+            account: Some(account),
+            target: RouteTarget::Model {
+                model,
+                adapter: None,
+            },
+            prompt: TokenCount::new(1),
+            output: TokenCount::new(1),
+            priority: PriorityClass::new(0),
+            repeatable: true,
+            idempotency: None,
+            prefix: None,
+            admission_deadline: self.now + TimeSpan::from_millis(300),
+            deadline: self.now + TimeSpan::from_secs(60),
+        };
+        let effects = self.take(NodeEvent::Request(RequestEvent::Arrived {
+            ticket,
+            profile,
+        }));
+        for effect in effects {
+            if let NodeEffect::Dispatch(order) = effect {
+                self.take(NodeEvent::Request(RequestEvent::AttemptEnded {
+                    ticket,
+                    attempt: order.attempt,
+                    outcome: AttemptOutcome::Complete {
+                        used_tokens: 2,
+                        record: None,
+                    },
+                }));
+            }
+        }
+    }
+}
+
+fn settings() -> NodeSettings {
+    NodeSettings {
+        vm: vm(0),
+        data_centre: data_centre(),
+        address: "127.0.0.1:7000".into(),
+        incarnation: INCARNATION,
+        request: RequestPolicy {
+            attempt_limit: 4,
+            retry_percent: 20,
+        },
+        route: RouteSettings::default(),
+        roster: RosterSettings::default(),
+        configuration: ConfigurationSettings::default(),
+        limit: LimitSettings::default(),
+        claim: ClaimSettings::default(),
+        crash: CrashSettings::default(),
+        plan: PlanSettings::default(),
+    }
+}
+
+fn tables() -> WatchAnswer<RosterTable> {
+    let members: BTreeMap<VmId, RosterMember> = (0..MEMBERS)
+        .map(|index| {
+            let member = RosterMember {
+                address: format!("127.0.0.1:{}", 7_000 + index).into(),
+                incarnation: IncarnationId::new(INCARNATION + index as u64),
+                parts: PartCount::new(10),
+            };
+            (vm(index), member)
+        })
+        .collect();
+    let table = RosterTable {
+        data_centre: data_centre(),
+        epoch: Epoch::new(1),
+        share: PartCount::new(256),
+        share_version: ObjectVersion::new(1),
+        share_releasing: false,
+        members,
+        holder: vm(0),
+        nonce: UpdateNonce::default(),
+    };
+    let version = ObjectVersion::new(2);
+    WatchAnswer::Changes {
+        version,
+        changes: vec![WatchChange {
+            name: data_centre().as_str().into(),
+            object: Some(VersionedObject {
+                version,
+                value: table,
+            }),
+        }],
+    }
+}
+
+fn view(size: LoadSize) -> FleetView {
+    let limit = AccountLimit {
+        rate: TokenRate::new(1_000_000),
+        burst: TokenCount::new(10_000_000),
+    };
+    let spec = ModelSpec {
+        version: ModelVersion::from("1"),
+        memory_mib: MemorySize::new(1_024),
+        priority: PriorityClass::new(0),
+        replica_limit: ComputeLoad::accelerators(1),
+        resident: false,
+    };
+    FleetView {
+        version: ObjectVersion::new(1),
+        endpoints: (0..size.endpoints)
+            .map(|index| {
+                let profile = EndpointProfile {
+                    data_centre: data_centre(),
+                    role: EndpointRole::Engine,
+                    leaving: false,
+                };
+                (endpoint(index), profile)
+            })
+            .collect(),
+        engines: (0..size.endpoints / 4)
+            .map(|index| (endpoint(index), EndpointSpec::default()))
+            .collect(),
+        accounts: AccountTable {
+            version: ObjectVersion::new(1),
+            limits: (0..size.accounts)
+                .map(|index| (account(index), limit))
+                .collect(),
+        },
+        catalogue: PlacementCatalogue {
+            models: (0..size.models)
+                .map(|index| (model(index), spec.clone()))
+                .collect(),
+            data_centres: [data_centre()].into(),
+            ..PlacementCatalogue::default()
+        },
+        capacities: (0..size.models).map(|index| (model(index), 400)).collect(),
+        share: PartCount::new(256),
+        data_centres: vec![data_centre()],
+    }
+}
+
+fn report(index: usize, number: u64, models: usize) -> EndpointReport {
+    EndpointReport {
+        endpoint: endpoint(index),
+        incarnation: Incarnation::new(1),
+        report_number: ReportNumber::new(number),
+        last_order: OrderNumber::default(),
+        memory_mib: MemorySize::new(80 * 1_024),
+        used_mib: MemorySize::new(4 * 1_024),
+        draining: false,
+        fencing_number: FencingNumber::new(0),
+        models: (0..MODELS_PER_ENDPOINT)
+            .map(|copy| ModelReport {
+                model: model((index * MODELS_PER_ENDPOINT + copy) % models),
+                version: ModelVersion::from("1"),
+                state: ModelState::Ready,
+                memory_mib: MemorySize::new(1_024),
+            })
+            .collect(),
+        adapters: Vec::new(),
+    }
+}
--- a/crates/clementinepond_measure/src/experiment/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! The list of experiments.
 
+pub mod capacity;
 pub mod claims;
 pub mod config;
 pub mod crash;
@@ -72,6 +73,11 @@
         about: "time of one plan; read from this machine's clock, so not repeatable",
         run: placement::run_time,
     },
+    ExperimentEntry {
+        name: "capacity",
+        about: "control cost of one VM by size; read from this machine's clock, so not repeatable",
+        run: capacity::run,
+    },
 ];
 
 /// Finds an experiment by name.
--- a/crates/clementinepond_settings/src/vm/reference.rs
+++ b/crates/clementinepond_settings/src/vm/reference.rs
@@ -233,13 +233,13 @@
     entry(
         "limit.lot_span",
         "time",
-        "4s",
+        "10s",
         "Life of a lot of tokens at the VM that borrowed it.",
     ),
     entry(
         "limit.loan_interval",
         "time",
-        "1s",
+        "2s",
         "Shortest interval between two polls for loans.",
     ),
     entry(
--- a/crates/clementinepond_settings/src/vm/section.rs
+++ b/crates/clementinepond_settings/src/vm/section.rs
@@ -217,8 +217,8 @@
 impl Default for LimitSettings {
     fn default() -> Self {
         Self {
-            lot_span: TimeSpan::from_secs(4),
-            loan_interval: TimeSpan::from_secs(1),
+            lot_span: TimeSpan::from_secs(10),
+            loan_interval: TimeSpan::from_secs(2),
         }
     }
 }
