--- a/crates/clementinepond/src/command/demo.rs
+++ b/crates/clementinepond/src/command/demo.rs
@@ -2,7 +2,7 @@
 
 use super::CommandError;
 use crate::output::{EXIT_FAILURE, open_log};
-use clementinepond_demo::{DemoOptions, DemoReport, Deployment, run_demo};
+use clementinepond_demo::{DemoOptions, DemoReport, Deployment, run_demo, run_overhead};
 use clementinepond_types::TimeSpan;
 use gumdrop::Options;
 use std::process::ExitCode;
@@ -34,6 +34,9 @@
     /// Seed of the load.
     #[options(no_short, meta = "N", default = "1", help = "seed of the load")]
     pub(crate) seed: u64,
+    /// Compare a VM with direct calls.
+    #[options(no_short, help = "compare a VM with direct calls of an engine instead")]
+    pub(crate) overhead: bool,
     /// Least severe level that is logged.
     #[options(
         no_short,
@@ -56,6 +59,9 @@
         ));
     }
     open_log(&command.log_level);
+    if command.overhead {
+        return compare(command);
+    }
     let options = DemoOptions {
         deployment,
         duration: TimeSpan::from_secs(command.seconds),
@@ -79,6 +85,34 @@
     }
 }
 
+fn compare(command: &DemoCommand) -> Result<ExitCode, CommandError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let duration = TimeSpan::from_secs(command.seconds);
+    let report = runtime
+        .block_on(run_overhead(command.rate, duration, command.seed))
+        .map_err(|error| CommandError::failed(&error.to_string()))?;
+    for (name, load) in [
+        ("direct", &report.direct),
+        ("through a VM", &report.through_vm),
+    ] {
+        println!(
+            "{name:12} answered {} of {}, first token p50 {} p95 {}, whole p50 {} p95 {}",
+            load.answered,
+            load.sent,
+            load.first_token.p50,
+            load.first_token.p95,
+            load.whole.p50,
+            load.whole.p95
+        );
+    }
+    let line = serde_json::to_string(&report)
+        .map_err(|error| CommandError::failed(&format!("{error}; report this as a fault")))?;
+    println!("{line}");
+    Ok(ExitCode::SUCCESS)
+}
+
 fn print_measures(report: &DemoReport) {
     println!("answered whole           {:.4}", report.answered_share);
     println!("worst-served account     {:.4}", report.worst_account);
--- a/crates/clementinepond_demo/src/lib.rs
+++ b/crates/clementinepond_demo/src/lib.rs
@@ -6,5 +6,5 @@
 mod deployment;
 mod fleet;
 
-pub use deployment::{DemoOptions, DemoReport, Deployment, run_demo};
+pub use deployment::{DemoOptions, DemoReport, Deployment, OverheadReport, run_demo, run_overhead};
 pub use fleet::{AdminAnswer, FleetError, FleetPlan, OPERATOR_CREDENTIAL, RunningFleet, RunningVm};
