--- a/crates/clementinepond_daemon/src/daemon/listener.rs
+++ b/crates/clementinepond_daemon/src/daemon/listener.rs
@@ -1,10 +1,11 @@
 //! HTTP listeners that stop gracefully.
 
 use super::DaemonError;
+use super::no_delay_listener::NoDelayListener;
 use clementinepond_settings::vm::TlsSettings;
 use clementinepond_types::TimeSpan;
-use salvo::conn::rustls::{Keycert, RustlsConfig};
-use salvo::conn::{Accepted, Acceptor, Listener, TcpListener};
+use salvo::conn::rustls::{Keycert, RustlsConfig, RustlsListener};
+use salvo::conn::{Accepted, Acceptor, Listener};
 use salvo::{Router, Server};
 use std::net::SocketAddr;
 use tokio::task::JoinHandle;
@@ -31,7 +32,9 @@
         router: Router,
         stopping: CancellationToken,
     ) -> Result<OpenListener, DaemonError> {
-        let listener = TcpListener::new(self.address);
+        let listener = NoDelayListener {
+            address: self.address,
+        };
         match self.tls {
             None => {
                 let acceptor = listener
@@ -42,7 +45,7 @@
             }
             Some(tls) => {
                 let config = tls_config(tls)?;
-                let listener = listener.rustls(config);
+                let listener = RustlsListener::new(config, listener);
                 let acceptor = listener
                     .try_bind()
                     .await
--- a/crates/clementinepond_daemon/src/daemon/mod.rs
+++ b/crates/clementinepond_daemon/src/daemon/mod.rs
@@ -2,6 +2,7 @@
 
 mod error;
 mod listener;
+mod no_delay_listener;
 mod node_settings;
 mod running;
 
--- a/crates/clementinepond_measure/src/experiment/mod.rs
+++ b/crates/clementinepond_measure/src/experiment/mod.rs
@@ -7,6 +7,7 @@
 pub mod limits;
 pub mod placement;
 pub mod roster;
+pub mod routing;
 
 use crate::ExperimentReport;
 
@@ -58,6 +59,11 @@
         about: "poison requests: endpoints lost, innocent requests refused",
         run: crash::run,
     },
+    ExperimentEntry {
+        name: "routing",
+        about: "both bounds and prefix reuse at 80% of capacity, reports that lag",
+        run: routing::run,
+    },
     ExperimentEntry {
         name: "placement",
         about: "attainment and moves of the plan while demand moves tenfold within the hour",
