--- a/crates/clementinepond_decide/src/route/choose.rs
+++ b/crates/clementinepond_decide/src/route/choose.rs
@@ -9,6 +9,7 @@
 struct RouteCandidate<'a> {
     endpoint: &'a EndpointId,
     wait: TimeSpan,
+    is_cached: bool,
 }
 
 impl RouteTable {
@@ -65,6 +66,7 @@
             .map(|(endpoint, state)| RouteCandidate {
                 endpoint,
                 wait: self.wait(state, query),
+                is_cached: caches(state, query),
             })
             .collect()
     }
@@ -78,10 +80,7 @@
         let running = u64::from(running + state.sent_since_report);
         let mut wait = settings.running_cost.fraction(running, 1);
         wait += settings.queued_cost.fraction(u64::from(queued), 1);
-        if !query
-            .prefix
-            .is_some_and(|prefix| state.prefixes.contains(prefix))
-        {
+        if !caches(state, query) {
             wait += settings.prefill_cost.fraction(query.prompt_tokens, 1000);
         }
         if lacks_adapter(state, &query.target) {
@@ -106,6 +105,12 @@
     }
 }
 
+fn caches(state: &EndpointState, query: &RouteQuery) -> bool {
+    query
+        .prefix
+        .is_some_and(|prefix| state.prefixes.contains(prefix))
+}
+
 fn lacks_adapter(state: &EndpointState, target: &RouteTarget) -> bool {
     let RouteTarget::Model {
         adapter: Some(adapter),
@@ -120,22 +125,30 @@
         .is_some_and(|report| report.adapters.contains_key(adapter))
 }
 
-/// Takes the shorter wait of two random candidates.
+/// Takes the shortest wait of two random candidates and, when any caches the
+/// prefix, a random one of those.
 fn pick(candidates: &[RouteCandidate<'_>], seed: u64) -> Option<EndpointId> {
-    let count = u64::try_from(candidates.len()).ok()?;
-    if count == 0 {
-        return None;
-    }
-    let first = index(seed % count);
+    let caching: Vec<&RouteCandidate<'_>> = candidates
+        .iter()
+        .filter(|candidate| candidate.is_cached)
+        .collect();
+    let count = u64::try_from(candidates.len())
+        .ok()
+        .filter(|&count| count > 0)?;
+    let first = seed % count;
     let step = 1 + (seed / count) % count.saturating_sub(1).max(1);
-    let second = index((seed % count + step) % count);
-    let (first, second) = (candidates.get(first)?, candidates.get(second)?);
-    let better = if second.wait < first.wait {
-        second
-    } else {
-        first
-    };
-    Some(better.endpoint.clone())
+    let second = (first + step) % count;
+    let third = (seed >> 32) % u64::try_from(caching.len().max(1)).ok()?;
+    let chosen = [
+        candidates.get(index(first)),
+        candidates.get(index(second)),
+        caching.get(index(third)).copied(),
+    ];
+    let best = chosen
+        .into_iter()
+        .flatten()
+        .min_by_key(|candidate| candidate.wait)?;
+    Some(best.endpoint.clone())
 }
 
 fn index(number: u64) -> usize {
--- a/crates/clementinepond_decide/src/route/settings.rs
+++ b/crates/clementinepond_decide/src/route/settings.rs
@@ -27,7 +27,7 @@
     fn default() -> Self {
         Self {
             running_cost: TimeSpan::from_millis(10),
-            queued_cost: TimeSpan::from_millis(60),
+            queued_cost: TimeSpan::from_millis(150),
             prefill_cost: TimeSpan::from_millis(200),
             adapter_cost: TimeSpan::from_millis(15),
             distance_cost: TimeSpan::from_millis(3),
