--- a/crates/clementinepond_daemon/src/admin/change.rs
+++ b/crates/clementinepond_daemon/src/admin/change.rs
@@ -72,16 +72,8 @@
     change: ConfigurationChange,
     response: &mut Response,
 ) {
-    let expected = match read_version(request) {
-        Ok(expected) => expected,
-        Err(message) => {
-            return refuse(
-                response,
-                StatusCode::BAD_REQUEST,
-                "invalid_version",
-                &message,
-            );
-        }
+    let Some(expected) = expected_version(request, response) else {
+        return;
     };
     match store::change(&state.platform, expected, change).await {
         Ok(stored) => {
@@ -92,14 +84,23 @@
     }
 }
 
-pub(super) fn read_version(request: &Request) -> Result<Option<ObjectVersion>, String> {
-    match request.query::<String>("if-version") {
-        None => Ok(None),
-        Some(text) => text
-            .parse()
-            .map(Some)
-            .map_err(|_| "if-version is not a whole number; use the version that you read".into()),
+/// Reads the version that the change was decided on, if it names one; refuses
+/// one that cannot be read and returns nothing.
+pub(super) fn expected_version(
+    request: &Request,
+    response: &mut Response,
+) -> Option<Option<ObjectVersion>> {
+    let text = request.query::<String>("if-version");
+    let version = text.map(|text| text.parse()).transpose();
+    if version.is_err() {
+        refuse(
+            response,
+            StatusCode::BAD_REQUEST,
+            "invalid_version",
+            "if-version is not a whole number; use the version that you read",
+        );
     }
+    version.ok()
 }
 
 async fn read_change(request: &mut Request) -> Result<ConfigurationChange, String> {
--- a/crates/clementinepond_daemon/src/admin/key.rs
+++ b/crates/clementinepond_daemon/src/admin/key.rs
@@ -1,7 +1,7 @@
 //! Handlers that give and withdraw keys.
 
 use super::AdminState;
-use super::change::{read_version, render_error, render_version};
+use super::change::{expected_version, render_error, render_version};
 use super::credential::refuse;
 use super::store::{self, StoreError};
 use crate::configuration::key_digest;
@@ -30,16 +30,8 @@
             "the path names no account; correct it",
         );
     };
-    let expected = match read_version(request) {
-        Ok(expected) => expected,
-        Err(message) => {
-            return refuse(
-                response,
-                StatusCode::BAD_REQUEST,
-                "invalid_version",
-                &message,
-            );
-        }
+    let Some(expected) = expected_version(request, response) else {
+        return;
     };
     let key = format!("cp-{}{}", Uuid::new_v4().simple(), Uuid::new_v4().simple());
     let digest = key_digest(&key);
@@ -82,16 +74,8 @@
             "the path names no key digest; copy it whole from the list of keys",
         );
     };
-    let expected = match read_version(request) {
-        Ok(expected) => expected,
-        Err(message) => {
-            return refuse(
-                response,
-                StatusCode::BAD_REQUEST,
-                "invalid_version",
-                &message,
-            );
-        }
+    let Some(expected) = expected_version(request, response) else {
+        return;
     };
     let change = ConfigurationChange::Key(digest, None);
     match store::change(&state.platform, expected, change).await {
--- a/crates/clementinepond_daemon/src/admin/router.rs
+++ b/crates/clementinepond_daemon/src/admin/router.rs
@@ -6,26 +6,7 @@
 use super::key::{give_key, withdraw_key};
 use super::status::{show_health, show_metrics, show_readiness, show_status, show_traces};
 use salvo::http::StatusCode;
-use salvo::{Depot, FlowCtrl, Request, Response, Router, handler};
-
-/// Puts the shared state where the handlers find it.
-struct StateHoop {
-    state: AdminState,
-}
-
-#[salvo::async_trait]
-impl salvo::Handler for StateHoop {
-    async fn handle(
-        &self,
-        request: &mut Request,
-        depot: &mut Depot,
-        response: &mut Response,
-        ctrl: &mut FlowCtrl,
-    ) {
-        depot.insert_typed(self.state.clone());
-        ctrl.call_next(request, depot, response).await;
-    }
-}
+use salvo::{Response, Router, affix_state, handler};
 
 #[handler]
 async fn not_found(response: &mut Response) {
@@ -53,7 +34,7 @@
                 .delete(change_entry),
         );
     Router::new()
-        .hoop(StateHoop { state })
+        .hoop(affix_state::inject(state))
         .push(Router::with_path("healthz").get(show_health))
         .push(Router::with_path("readyz").get(show_readiness))
         .push(Router::with_path("metrics").get(show_metrics))
--- a/crates/clementinepond_daemon/src/caller/router.rs
+++ b/crates/clementinepond_daemon/src/caller/router.rs
@@ -5,26 +5,7 @@
 use super::service::call_service;
 use super::state::CallerState;
 use salvo::http::StatusCode;
-use salvo::{Depot, FlowCtrl, Request, Response, Router, handler};
-
-/// Puts the shared state where the handlers find it.
-struct StateHoop {
-    state: CallerState,
-}
-
-#[salvo::async_trait]
-impl salvo::Handler for StateHoop {
-    async fn handle(
-        &self,
-        request: &mut Request,
-        depot: &mut Depot,
-        response: &mut Response,
-        ctrl: &mut FlowCtrl,
-    ) {
-        depot.insert_typed(self.state.clone());
-        ctrl.call_next(request, depot, response).await;
-    }
-}
+use salvo::{Response, Router, affix_state, handler};
 
 #[handler]
 async fn not_found(response: &mut Response) {
@@ -39,7 +20,7 @@
 /// Makes the router for callers.
 pub(crate) fn caller_router(state: CallerState) -> Router {
     Router::new()
-        .hoop(StateHoop { state })
+        .hoop(affix_state::inject(state))
         .push(Router::with_path("v1/chat/completions").post(chat_completion))
         .push(Router::with_path("v1/completions").post(completion))
         .push(Router::with_path("v1/models").get(list_models))
--- a/crates/clementinepond_demo/tests/end_to_end/main.rs
+++ b/crates/clementinepond_demo/tests/end_to_end/main.rs
@@ -7,4 +7,5 @@
 mod failures;
 mod key_secrecy;
 mod support;
+mod tls;
 mod whole_path;
