--- a/crates/clementinepond_daemon/src/admin/change.rs
+++ b/crates/clementinepond_daemon/src/admin/change.rs
@@ -6,14 +6,15 @@
 use clementinepond_settings::fleet::ConfigurationChange;
 use clementinepond_types::ObjectVersion;
 use salvo::http::StatusCode;
+use salvo::oapi::endpoint;
 use salvo::writing::Json;
-use salvo::{Depot, Request, Response, handler};
+use salvo::{Depot, Request, Response};
 use serde_json::{Value, json};
 
 /// Largest accepted change, in bytes.
 const CHANGE_LIMIT_BYTES: usize = 1024 * 1024;
 
-#[handler]
+#[endpoint(summary = "Reads the configuration with its version.")]
 pub(super) async fn read_configuration(depot: &mut Depot, response: &mut Response) {
     let Ok(state) = depot.get_typed::<AdminState>() else {
         return;
@@ -24,7 +25,12 @@
     }
 }
 
-#[handler]
+#[endpoint(
+    summary = "Makes one change of the configuration.",
+    parameters(
+        ("if-version" = Option<String>, Query, description = "Version that the change was decided on."),
+    ),
+)]
 pub(super) async fn change_configuration(
     request: &mut Request,
     depot: &mut Depot,
@@ -48,7 +54,14 @@
 }
 
 /// Handles `PUT` and `DELETE` of one entry.
-#[handler]
+#[endpoint(
+    summary = "Sets or removes one entry: accounts, models, adapters, endpoints, services or data-centres.",
+    parameters(
+        ("kind" = String, Path, description = "Kind of the entry."),
+        ("id" = String, Path, description = "Name of the entry."),
+        ("if-version" = Option<String>, Query, description = "Version that the change was decided on."),
+    ),
+)]
 pub(super) async fn change_entry(
     request: &mut Request,
     depot: &mut Depot,
--- a/crates/clementinepond_daemon/src/admin/key.rs
+++ b/crates/clementinepond_daemon/src/admin/key.rs
@@ -8,13 +8,21 @@
 use clementinepond_settings::fleet::{ConfigurationChange, KeyEntry};
 use clementinepond_types::{AccountId, KeyDigest};
 use salvo::http::StatusCode;
+use salvo::oapi::endpoint;
 use salvo::writing::Json;
-use salvo::{Depot, Request, Response, handler};
+use salvo::{Depot, Request, Response};
 use serde_json::json;
 use uuid::Uuid;
 
 /// Makes a key of an account and shows it this once.
-#[handler]
+#[endpoint(
+    summary = "Makes a key of an account and shows it this once.",
+    parameters(
+        ("id" = String, Path, description = "Name of the entry."),
+        ("if-version" = Option<String>, Query, description = "Version that the change was decided on."),
+        ("note" = Option<String>, Query, description = "Note by which operators recognise the key."),
+    ),
+)]
 pub(super) async fn give_key(request: &mut Request, depot: &mut Depot, response: &mut Response) {
     let Ok(state) = depot.get_typed::<AdminState>() else {
         return;
@@ -54,7 +62,13 @@
 }
 
 /// Withdraws a key.
-#[handler]
+#[endpoint(
+    summary = "Withdraws a key; 202 when the platform is away and this VM spreads the news.",
+    parameters(
+        ("digest" = String, Path, description = "Digest of the key."),
+        ("if-version" = Option<String>, Query, description = "Version that the change was decided on."),
+    ),
+)]
 pub(super) async fn withdraw_key(
     request: &mut Request,
     depot: &mut Depot,
--- a/crates/clementinepond_daemon/src/admin/router.rs
+++ b/crates/clementinepond_daemon/src/admin/router.rs
@@ -6,6 +6,7 @@
 use super::key::{give_key, withdraw_key};
 use super::status::{show_health, show_metrics, show_readiness, show_status, show_traces};
 use salvo::http::StatusCode;
+use salvo::oapi::OpenApi;
 use salvo::{Response, Router, affix_state, handler};
 
 #[handler]
@@ -33,11 +34,17 @@
                 .put(change_entry)
                 .delete(change_entry),
         );
-    Router::new()
-        .hoop(affix_state::inject(state))
+    let paths = Router::new()
         .push(Router::with_path("healthz").get(show_health))
         .push(Router::with_path("readyz").get(show_readiness))
         .push(Router::with_path("metrics").get(show_metrics))
-        .push(guarded)
+        .push(guarded);
+    let document = OpenApi::new("clementinepond administration", env!("CARGO_PKG_VERSION"))
+        .merge_router(&paths)
+        .into_router("/openapi.json");
+    Router::new()
+        .hoop(affix_state::inject(state))
+        .push(document)
+        .push(paths)
         .push(Router::with_path("{**path}").goal(not_found))
 }
--- a/crates/clementinepond_daemon/src/admin/status.rs
+++ b/crates/clementinepond_daemon/src/admin/status.rs
@@ -2,18 +2,19 @@
 
 use super::AdminState;
 use salvo::http::StatusCode;
+use salvo::oapi::endpoint;
 use salvo::writing::{Json, Text};
-use salvo::{Depot, Response, handler};
+use salvo::{Depot, Response};
 use serde_json::json;
 
 /// Answers as long as the process serves.
-#[handler]
+#[endpoint(summary = "Answers as long as the process serves.")]
 pub(super) async fn show_health(response: &mut Response) {
     response.render(Text::Plain("ok\n"));
 }
 
 /// Answers 200 while the balancer may send callers here.
-#[handler]
+#[endpoint(summary = "Answers 200 while callers may be sent to this VM.")]
 pub(super) async fn show_readiness(depot: &mut Depot, response: &mut Response) {
     let Ok(state) = depot.get_typed::<AdminState>() else {
         return;
@@ -26,7 +27,7 @@
     }
 }
 
-#[handler]
+#[endpoint(summary = "Shows every metric in the usual text form.")]
 pub(super) async fn show_metrics(depot: &mut Depot, response: &mut Response) {
     let Ok(state) = depot.get_typed::<AdminState>() else {
         return;
@@ -34,7 +35,7 @@
     response.render(Text::Plain(state.metrics.text()));
 }
 
-#[handler]
+#[endpoint(summary = "Shows roster, accounts, endpoints, plan and configuration of this VM.")]
 pub(super) async fn show_status(depot: &mut Depot, response: &mut Response) {
     let Ok(state) = depot.get_typed::<AdminState>() else {
         return;
@@ -58,7 +59,7 @@
     })));
 }
 
-#[handler]
+#[endpoint(summary = "Shows the spans of the newest requests.")]
 pub(super) async fn show_traces(depot: &mut Depot, response: &mut Response) {
     let Ok(state) = depot.get_typed::<AdminState>() else {
         return;
--- a/crates/clementinepond_demo/tests/end_to_end/whole_path.rs
+++ b/crates/clementinepond_demo/tests/end_to_end/whole_path.rs
@@ -166,3 +166,22 @@
     assert_eq!(refused.status, StatusCode::UNPROCESSABLE_ENTITY);
     fleet.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_administration_api_describes_itself() {
+    let fleet = RunningFleet::start(plan()).await.unwrap();
+    let answer = fleet.vms[0]
+        .administer(Method::GET, "/openapi.json", None)
+        .await
+        .unwrap();
+    let paths = answer.body["paths"].as_object().unwrap();
+    for path in [
+        "/v1/configuration",
+        "/v1/keys/{digest}",
+        "/v1/accounts/{id}/keys",
+        "/v1/{kind}/{id}",
+    ] {
+        assert!(paths.contains_key(path), "{path} of {:?}", paths.keys());
+    }
+    fleet.stop().await;
+}
