--- a/crates/clementinepond_decide/src/node/request_part.rs
+++ b/crates/clementinepond_decide/src/node/request_part.rs
@@ -82,7 +82,7 @@
         match effect {
             RequestEffect::AskLimit { ticket, profile } => self.ask_limit(ticket, &profile),
             RequestEffect::AskAgain { ticket, profile } => {
-                self.settle(ticket, Some(0));
+                self.settle(ticket, TokenCount::ZERO);
                 self.ask_limit(ticket, &profile);
             }
             RequestEffect::AskClaim { ticket, profile } => self.ask_claim(ticket, &profile),
@@ -106,10 +106,7 @@
                     generated: TokenCount::new(tokens),
                 });
             }
-            RequestEffect::Settle {
-                ticket,
-                used_tokens,
-            } => self.settle(ticket, used_tokens),
+            RequestEffect::Settle { ticket, used } => self.settle(ticket, used),
             RequestEffect::CloseClaim { ticket, end } => self.close_claim(ticket, end),
             RequestEffect::Finish { ticket, end } => {
                 self.drop_run(ticket);
@@ -132,21 +129,13 @@
         }));
     }
 
-    fn settle(&mut self, ticket: RequestTicket, used_tokens: Option<u64>) {
+    fn settle(&mut self, ticket: RequestTicket, used: TokenCount) {
         let ticket = TicketId::new(ticket.get());
-        let event = match used_tokens {
-            Some(0) => LimitEvent::Cancel { ticket },
-            Some(tokens) => LimitEvent::Settle {
-                ticket,
-                used: TokenCount::new(tokens),
-            },
-            // What is not known counts as used in full.
-            None => LimitEvent::Settle {
-                ticket,
-                used: TokenCount::from_micro(u64::MAX),
-            },
-        };
-        self.take_limit(event);
+        self.take_limit(if used == TokenCount::ZERO {
+            LimitEvent::Cancel { ticket }
+        } else {
+            LimitEvent::Settle { ticket, used }
+        });
     }
 
     fn ask_claim(&mut self, ticket: RequestTicket, profile: &RequestProfile) {
--- a/crates/clementinepond_decide/src/request/effect.rs
+++ b/crates/clementinepond_decide/src/request/effect.rs
@@ -2,7 +2,7 @@
 
 use super::{AttemptNumber, RequestEnd, RequestProfile};
 use crate::route::RouteQuery;
-use clementinepond_types::{EndpointId, LocalTime, RequestTicket};
+use clementinepond_types::{EndpointId, LocalTime, RequestTicket, TokenCount};
 
 /// Order to send a request to an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -67,8 +67,8 @@
     Settle {
         /// The request.
         ticket: RequestTicket,
-        /// Tokens used; `None` when unknown, so that all that was reserved counts.
-        used_tokens: Option<u64>,
+        /// Tokens used; all that was reserved when it is not known.
+        used: TokenCount,
     },
     /// Give back a lapsed admission and ask for a new one.
     AskAgain {
--- a/crates/clementinepond_decide/src/request/reduce.rs
+++ b/crates/clementinepond_decide/src/request/reduce.rs
@@ -6,7 +6,7 @@
     RequestProfile, RequestStage, RequestTable,
 };
 use crate::route::RouteQuery;
-use clementinepond_types::{LocalTime, RequestTicket, TimeSpan};
+use clementinepond_types::{LocalTime, RequestTicket, TimeSpan, TokenCount};
 use std::collections::BTreeSet;
 
 /// Longest wait between two choices of an endpoint.
@@ -73,7 +73,7 @@
         // Admission of a request that has gone is given back.
         None => vec![RequestEffect::Settle {
             ticket,
-            used_tokens: Some(0),
+            used: TokenCount::ZERO,
         }],
         other => restore(table, ticket, other),
     }
@@ -384,11 +384,8 @@
     };
     let mut effects = Vec::new();
     if has_admission(&stage) {
-        let used_tokens = used_tokens(&stage, &end);
-        effects.push(RequestEffect::Settle {
-            ticket,
-            used_tokens,
-        });
+        let used = used_tokens(&stage, &end);
+        effects.push(RequestEffect::Settle { ticket, used });
     }
     if has_claim(&stage) {
         let end = claimed_end(&stage, &end);
@@ -413,14 +410,20 @@
 }
 
 /// Returns the tokens that count against the account.
-fn used_tokens(stage: &RequestStage, end: &RequestEnd) -> Option<u64> {
+fn used_tokens(stage: &RequestStage, end: &RequestEnd) -> TokenCount {
     if !stage.may_have_run() {
-        return Some(0);
+        return TokenCount::ZERO;
     }
     match end {
-        RequestEnd::Complete { used_tokens, .. } => Some(*used_tokens),
-        RequestEnd::Rejected | RequestEnd::Replayed { .. } | RequestEnd::NotRun { .. } => Some(0),
-        RequestEnd::Unknown { .. } | RequestEnd::Abandoned => None,
+        RequestEnd::Complete { used_tokens, .. } => TokenCount::new(*used_tokens),
+        RequestEnd::Rejected | RequestEnd::Replayed { .. } | RequestEnd::NotRun { .. } => {
+            TokenCount::ZERO
+        }
+        // What is not known counts as used, up to what was reserved.
+        RequestEnd::Unknown { .. } | RequestEnd::Abandoned => {
+            let profile = stage.profile();
+            profile.prompt + profile.output
+        }
     }
 }
 
--- a/crates/clementinepond_demo/tests/end_to_end/failures.rs
+++ b/crates/clementinepond_demo/tests/end_to_end/failures.rs
@@ -287,6 +287,31 @@
     fleet.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_costs_its_account_no_more_than_was_reserved() {
+    // One VM alone: no other can lend what this one would owe.
+    let mut plan = slow_plan();
+    plan.vms.pop_last();
+    plan.engines.pop();
+    let fleet = RunningFleet::start(plan).await.unwrap();
+    let address = fleet.vms[0].caller;
+    let stream = tokio::spawn(async move { complete(address, "long plan", true).await });
+    wait_for_run(&fleet).await;
+    stream.abort();
+    while fleet
+        .engines
+        .iter()
+        .any(|engine| engine.report().running > 0)
+    {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    for vm in &fleet.vms {
+        let answer = complete(vm.caller, "x", false).await;
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+    }
+    fleet.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_through_two_vms_count_against_one_account() {
     let mut plan = plan();
