--- a/crates/clementinepond_daemon/src/endpoint/inference.rs
+++ b/crates/clementinepond_daemon/src/endpoint/inference.rs
@@ -127,7 +127,7 @@
         let record = self.record(parts.status, &parts.headers, &body);
         self.pass_whole(parts.status, &parts.headers, body).await;
         AttemptOutcome::Complete {
-            used_tokens: head.usage.map_or(0, |usage| usage.total_tokens),
+            used_tokens: head.usage.map(|usage| usage.total_tokens),
             record,
         }
     }
@@ -135,7 +135,7 @@
     async fn pass_stream(&self, response: Response<Incoming>) -> AttemptOutcome {
         let mut events = BodyDataStream::new(response.into_body()).eventsource();
         let limit = self.edge.settings.token_timeout.duration();
-        let mut used_tokens = 0;
+        let mut used_tokens = None;
         let mut delivered_tokens = 0;
         loop {
             let next = tokio::time::timeout(limit, events.next()).await;
@@ -156,7 +156,7 @@
                 return AttemptOutcome::Broken { delivered_tokens };
             }
             if let Some(usage) = &head.usage {
-                used_tokens = usage.total_tokens;
+                used_tokens = Some(usage.total_tokens);
             }
             let tokens = head.tokens();
             let chunk = CallSignal::Chunk(Bytes::from(event.data));
--- a/crates/clementinepond_daemon/src/endpoint/service.rs
+++ b/crates/clementinepond_daemon/src/endpoint/service.rs
@@ -40,7 +40,7 @@
         let record = self.record(parts.status, &parts.headers, &body);
         self.pass_whole(parts.status, &parts.headers, body).await;
         AttemptOutcome::Complete {
-            used_tokens: 0,
+            used_tokens: None,
             record,
         }
     }
--- a/crates/clementinepond_decide/src/request/event.rs
+++ b/crates/clementinepond_decide/src/request/event.rs
@@ -9,8 +9,9 @@
 pub enum AttemptOutcome {
     /// The whole answer was passed on.
     Complete {
-        /// Tokens that the endpoint counted, prompt included.
-        used_tokens: u64,
+        /// Tokens that the endpoint counted, prompt included; none when it
+        /// counts none.
+        used_tokens: Option<u64>,
         /// The answer, when repeats of the call may ask for it.
         record: Option<Box<RecordedAnswer>>,
     },
--- a/crates/clementinepond_decide/src/request/reduce.rs
+++ b/crates/clementinepond_decide/src/request/reduce.rs
@@ -415,12 +415,19 @@
         return TokenCount::ZERO;
     }
     match end {
-        RequestEnd::Complete { used_tokens, .. } => TokenCount::new(*used_tokens),
+        RequestEnd::Complete {
+            used_tokens: Some(tokens),
+            ..
+        } => TokenCount::new(*tokens),
         RequestEnd::Rejected | RequestEnd::Replayed { .. } | RequestEnd::NotRun { .. } => {
             TokenCount::ZERO
         }
         // What is not known counts as used, up to what was reserved.
-        RequestEnd::Unknown { .. } | RequestEnd::Abandoned => {
+        RequestEnd::Complete {
+            used_tokens: None, ..
+        }
+        | RequestEnd::Unknown { .. }
+        | RequestEnd::Abandoned => {
             let profile = stage.profile();
             profile.prompt + profile.output
         }
--- a/crates/clementinepond_decide/src/request/stage.rs
+++ b/crates/clementinepond_decide/src/request/stage.rs
@@ -67,8 +67,9 @@
 pub enum RequestEnd {
     /// The caller got the whole answer.
     Complete {
-        /// Tokens used, prompt included.
-        used_tokens: u64,
+        /// Tokens that the endpoint counted, prompt included; none when it
+        /// counts none.
+        used_tokens: Option<u64>,
         /// The answer, when repeats of the call may ask for it.
         record: Option<Box<RecordedAnswer>>,
     },
--- a/crates/clementinepond_measure/src/experiment/capacity/node_load.rs
+++ b/crates/clementinepond_measure/src/experiment/capacity/node_load.rs
@@ -238,7 +238,7 @@
                     ticket,
                     attempt: order.attempt,
                     outcome: AttemptOutcome::Complete {
-                        used_tokens: 2,
+                        used_tokens: Some(2),
                         record: None,
                     },
                 }));
