--- a/crates/clementinepond_daemon/src/admin/change.rs
+++ b/crates/clementinepond_daemon/src/admin/change.rs
@@ -85,6 +85,14 @@
     change: ConfigurationChange,
     response: &mut Response,
 ) {
+    if gives_withdrawn_key(state, &change) {
+        return refuse(
+            response,
+            StatusCode::CONFLICT,
+            "key_withdrawn",
+            "the key was withdrawn and cannot be given again; give a new key",
+        );
+    }
     let Some(expected) = expected_version(request, response) else {
         return;
     };
@@ -97,6 +105,17 @@
     }
 }
 
+/// Returns whether a change gives a key that was withdrawn on some VM.
+///
+/// The withdrawal would be forgotten once a configuration lacks the key, and a
+/// VM that heard of it late could then refuse a key that is valid again.
+fn gives_withdrawn_key(state: &AdminState, change: &ConfigurationChange) -> bool {
+    let ConfigurationChange::Key(digest, Some(_)) = change else {
+        return false;
+    };
+    state.snapshot.borrow().withdrawn.contains(digest)
+}
+
 /// Reads the version that the change was decided on, if it names one; refuses
 /// one that cannot be read and returns nothing.
 pub(super) fn expected_version(
--- a/crates/clementinepond_daemon/src/platform/work.rs
+++ b/crates/clementinepond_daemon/src/platform/work.rs
@@ -9,11 +9,13 @@
 use clementinepond_decide::crash::{CrashEffect, CrashEvent};
 use clementinepond_decide::node::NodeEvent;
 use clementinepond_decide::plan::{PlanEffect, PlanEvent};
-use clementinepond_decide::port::{ReadReply, VersionedObject};
+use clementinepond_decide::port::{ReadReply, StoreReply, VersionedObject};
 use clementinepond_decide::roster::{
     ListedVm as ListedMember, RosterEffect, RosterEvent, WatchAnswer, WatchChange,
 };
 use clementinepond_types::{DataCentreId, LocalTime, ObjectVersion};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::future::Future;
 
@@ -37,12 +39,10 @@
 }
 
 impl PlatformWorker {
-    fn spawn(&self, work: impl Future<Output = Option<NodeEvent>> + Send + 'static) {
+    fn spawn(&self, work: impl Future<Output = NodeEvent> + Send + 'static) {
         let node = self.node.clone();
         tokio::spawn(async move {
-            if let Some(event) = work.await {
-                node.send_event(event);
-            }
+            node.send_event(work.await);
         });
     }
 
@@ -55,58 +55,69 @@
         is_due
     }
 
+    /// Makes an update unless its deadline has passed.
+    ///
+    /// A dropped update is answered as unknown, so that the reducer reads again.
+    async fn store_by<T: Serialize + DeserializeOwned>(
+        &self,
+        kind: &str,
+        name: &str,
+        if_version: ObjectVersion,
+        value: &T,
+        deadline: LocalTime,
+    ) -> StoreReply<T> {
+        if !self.is_due(deadline) {
+            return StoreReply::Unknown;
+        }
+        self.client.store_reply(kind, name, if_version, value).await
+    }
+
     pub(crate) fn roster(&self, effect: RosterEffect) {
         let worker = self.clone();
         let client = self.client.clone();
         match effect {
             RosterEffect::ReadTable { data_centre } => self.spawn(async move {
                 let reply = client.read_reply(ROSTER_KIND, data_centre.as_str()).await;
-                Some(NodeEvent::Roster(RosterEvent::TableRead(reply)))
+                NodeEvent::Roster(RosterEvent::TableRead(reply))
             }),
             RosterEffect::StoreTable {
                 if_version,
                 table,
                 deadline,
             } => self.spawn(async move {
-                if !worker.is_due(deadline) {
-                    return None;
-                }
                 let name = table.data_centre.clone();
                 let nonce = table.nonce;
-                let reply = client
-                    .store_reply(ROSTER_KIND, name.as_str(), if_version, &table)
+                let reply = worker
+                    .store_by(ROSTER_KIND, name.as_str(), if_version, &table, deadline)
                     .await;
-                Some(NodeEvent::Roster(RosterEvent::TableStored { nonce, reply }))
+                NodeEvent::Roster(RosterEvent::TableStored { nonce, reply })
             }),
             RosterEffect::WatchTables { from } => self.spawn(async move {
                 let answer = client.watch_answer(ROSTER_KIND, from).await;
-                Some(NodeEvent::Roster(RosterEvent::TablesWatched(answer)))
+                NodeEvent::Roster(RosterEvent::TablesWatched(answer))
             }),
             RosterEffect::ListTables => self.spawn(async move {
                 let answer = client.list_answer(ROSTER_KIND).await;
-                Some(NodeEvent::Roster(RosterEvent::TablesWatched(answer)))
+                NodeEvent::Roster(RosterEvent::TablesWatched(answer))
             }),
             RosterEffect::ReadShares => self.spawn(async move {
                 let reply = client.read_reply(SHARE_KIND, FLEET_NAME).await;
-                Some(NodeEvent::Roster(RosterEvent::SharesRead(reply)))
+                NodeEvent::Roster(RosterEvent::SharesRead(reply))
             }),
             RosterEffect::StoreShares {
                 if_version,
                 table,
                 deadline,
             } => self.spawn(async move {
-                if !worker.is_due(deadline) {
-                    return None;
-                }
-                let reply = client
-                    .store_reply(SHARE_KIND, FLEET_NAME, if_version, &table)
+                let reply = worker
+                    .store_by(SHARE_KIND, FLEET_NAME, if_version, &table, deadline)
                     .await;
-                Some(NodeEvent::Roster(RosterEvent::SharesStored(reply)))
+                NodeEvent::Roster(RosterEvent::SharesStored(reply))
             }),
             RosterEffect::ListVms => self.spawn(async move {
                 let listed = client.list_vms().await.ok();
                 let members = listed.map(|vms| members(vms, &worker.data_centre));
-                Some(NodeEvent::Roster(RosterEvent::VmsListed(members)))
+                NodeEvent::Roster(RosterEvent::VmsListed(members))
             }),
             other => log::error!("event=effect_unknown effect=\"{other:?}\""),
         }
@@ -119,46 +130,43 @@
             ConfigurationEffect::ReadContent => self.spawn(async move {
                 let reply = client.read_reply(CONFIGURATION_KIND, FLEET_NAME).await;
                 let event = ConfigurationEvent::ContentRead(text_reply(reply));
-                Some(NodeEvent::Configuration(event))
+                NodeEvent::Configuration(event)
             }),
             ConfigurationEffect::WatchContent { from } => self.spawn(async move {
                 let answer = client.watch_answer(CONFIGURATION_KIND, from).await;
                 let event = ConfigurationEvent::ContentWatched(text_answer(answer));
-                Some(NodeEvent::Configuration(event))
+                NodeEvent::Configuration(event)
             }),
             ConfigurationEffect::ListContent => self.spawn(async move {
                 let answer = client.list_answer(CONFIGURATION_KIND).await;
                 let event = ConfigurationEvent::ContentWatched(text_answer(answer));
-                Some(NodeEvent::Configuration(event))
+                NodeEvent::Configuration(event)
             }),
             ConfigurationEffect::ListRecords => self.spawn(async move {
                 let answer = client.list_answer(WITHDRAWAL_KIND).await;
                 let event = ConfigurationEvent::RecordWatched(answer);
-                Some(NodeEvent::Configuration(event))
+                NodeEvent::Configuration(event)
             }),
             ConfigurationEffect::ReadRecord => self.spawn(async move {
                 let reply = client.read_reply(WITHDRAWAL_KIND, FLEET_NAME).await;
                 let event = ConfigurationEvent::RecordRead(reply);
-                Some(NodeEvent::Configuration(event))
+                NodeEvent::Configuration(event)
             }),
             ConfigurationEffect::WatchRecord { from } => self.spawn(async move {
                 let answer = client.watch_answer(WITHDRAWAL_KIND, from).await;
                 let event = ConfigurationEvent::RecordWatched(answer);
-                Some(NodeEvent::Configuration(event))
+                NodeEvent::Configuration(event)
             }),
             ConfigurationEffect::StoreRecord {
                 if_version,
                 record,
                 deadline,
             } => self.spawn(async move {
-                if !worker.is_due(deadline) {
-                    return None;
-                }
-                let reply = client
-                    .store_reply(WITHDRAWAL_KIND, FLEET_NAME, if_version, &record)
+                let reply = worker
+                    .store_by(WITHDRAWAL_KIND, FLEET_NAME, if_version, &record, deadline)
                     .await;
                 let event = ConfigurationEvent::RecordStored(reply);
-                Some(NodeEvent::Configuration(event))
+                NodeEvent::Configuration(event)
             }),
             other => log::error!("event=effect_unknown effect=\"{other:?}\""),
         }
@@ -169,7 +177,7 @@
         match effect {
             ClaimEffect::Read { shard } => self.spawn(async move {
                 let reply = client.read_reply(CLAIM_KIND, &shard.to_string()).await;
-                Some(NodeEvent::Claim(ClaimEvent::ReadReplied { shard, reply }))
+                NodeEvent::Claim(ClaimEvent::ReadReplied { shard, reply })
             }),
             ClaimEffect::Store {
                 shard,
@@ -181,11 +189,11 @@
                 let reply = client
                     .store_reply(CLAIM_KIND, &shard.to_string(), if_version, &object)
                     .await;
-                Some(NodeEvent::Claim(ClaimEvent::StoreReplied {
+                NodeEvent::Claim(ClaimEvent::StoreReplied {
                     shard,
                     write,
                     reply,
-                }))
+                })
             }),
             other => log::error!("event=effect_unknown effect=\"{other:?}\""),
         }
@@ -196,14 +204,14 @@
         match effect {
             CrashEffect::Read => self.spawn(async move {
                 let reply = client.read_reply(VERDICT_KIND, FLEET_NAME).await;
-                Some(NodeEvent::Crash(CrashEvent::ReadReplied { reply }))
+                NodeEvent::Crash(CrashEvent::ReadReplied { reply })
             }),
             CrashEffect::Store { expected, object } => self.spawn(async move {
                 let if_version = expected.unwrap_or(ObjectVersion::new(0));
                 let reply = client
                     .store_reply(VERDICT_KIND, FLEET_NAME, if_version, &object)
                     .await;
-                Some(NodeEvent::Crash(CrashEvent::StoreReplied { reply }))
+                NodeEvent::Crash(CrashEvent::StoreReplied { reply })
             }),
             other => log::error!("event=effect_unknown effect=\"{other:?}\""),
         }
@@ -214,7 +222,7 @@
         match effect {
             PlanEffect::Read { data_centre } => self.spawn(async move {
                 let reply = client.read_reply(PLAN_KIND, data_centre.as_str()).await;
-                Some(NodeEvent::Plan(PlanEvent::ReadReplied { reply }))
+                NodeEvent::Plan(PlanEvent::ReadReplied { reply })
             }),
             PlanEffect::Store {
                 data_centre,
@@ -225,7 +233,7 @@
                 let reply = client
                     .store_reply(PLAN_KIND, data_centre.as_str(), if_version, &*object)
                     .await;
-                Some(NodeEvent::Plan(PlanEvent::StoreReplied { write, reply }))
+                NodeEvent::Plan(PlanEvent::StoreReplied { write, reply })
             }),
             other => log::error!("event=effect_unknown effect=\"{other:?}\""),
         }
--- a/crates/clementinepond_demo/tests/end_to_end/failures.rs
+++ b/crates/clementinepond_demo/tests/end_to_end/failures.rs
@@ -8,6 +8,7 @@
 use clementinepond_standin::service::ServiceOptions;
 use clementinepond_types::TimeSpan;
 use hyper::{Method, StatusCode};
+use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -265,6 +266,12 @@
     fleet
         .platform
         .set_faults(|faults| faults.outage = OutageKind::None);
+    let again = json!({"key": [digest, {"account": "coop"}]});
+    let refused = fleet.vms[0]
+        .administer(Method::POST, "/v1/changes", Some(&again))
+        .await
+        .unwrap();
+    assert_eq!(refused.status, StatusCode::CONFLICT, "{:?}", refused.body);
     fleet.stop().await;
 }
 
