--- a/crates/clementinepond_daemon/src/configuration/in_force.rs
+++ b/crates/clementinepond_daemon/src/configuration/in_force.rs
@@ -2,11 +2,11 @@
 
 use super::{ConfigurationSnapshot, fleet_view};
 use crate::clock::LocalClock;
-use crate::endpoint::AddressBook;
+use crate::endpoint::{AddressBook, EndpointAddress};
 use crate::telemetry::MetricSet;
 use clementinepond_decide::node::FleetView;
 use clementinepond_settings::FaultList;
-use clementinepond_settings::fleet::FleetConfiguration;
+use clementinepond_settings::fleet::{EndpointKind, FleetConfiguration};
 use clementinepond_types::{DataCentreId, KeyDigest, LocalTime, ObjectVersion};
 use std::sync::Arc;
 use tokio::sync::watch;
@@ -106,6 +106,12 @@
 fn addresses(configuration: &FleetConfiguration) -> AddressBook {
     let endpoints = configuration.endpoints.iter();
     endpoints
-        .map(|(id, entry)| (id.clone(), entry.address))
+        .map(|(id, entry)| {
+            let address = EndpointAddress {
+                address: entry.address,
+                is_engine: matches!(entry.kind, EndpointKind::Engine { .. }),
+            };
+            (id.clone(), address)
+        })
         .collect()
 }
--- a/crates/clementinepond_daemon/src/endpoint/edge.rs
+++ b/crates/clementinepond_daemon/src/endpoint/edge.rs
@@ -15,8 +15,16 @@
 use std::sync::Arc;
 use tokio::sync::watch;
 
+/// Where an endpoint listens and what it answers.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EndpointAddress {
+    pub(crate) address: SocketAddr,
+    /// Whether it tells cache events; a plain service would run the call.
+    pub(crate) is_engine: bool,
+}
+
 /// Addresses of the configured endpoints.
-pub(crate) type AddressBook = BTreeMap<EndpointId, SocketAddr>;
+pub(crate) type AddressBook = BTreeMap<EndpointId, EndpointAddress>;
 
 /// What every call to an endpoint shares.
 #[derive(Debug, Clone)]
@@ -45,7 +53,14 @@
     }
 
     pub(crate) fn address(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
-        self.addresses.borrow().get(endpoint).copied()
+        let addresses = self.addresses.borrow();
+        addresses.get(endpoint).map(|entry| entry.address)
+    }
+
+    /// Returns whether an endpoint tells cache events.
+    pub(crate) fn is_engine(&self, endpoint: &EndpointId) -> bool {
+        let addresses = self.addresses.borrow();
+        addresses.get(endpoint).is_some_and(|entry| entry.is_engine)
     }
 
     /// Starts an attempt in a task of its own.
--- a/crates/clementinepond_daemon/src/endpoint/mod.rs
+++ b/crates/clementinepond_daemon/src/endpoint/mod.rs
@@ -7,6 +7,6 @@
 mod report;
 mod service;
 
-pub(crate) use edge::{AddressBook, EndpointEdge};
+pub(crate) use edge::{AddressBook, EndpointAddress, EndpointEdge};
 pub(crate) use order::PlanOrder;
 pub(crate) use report::run_reports;
--- a/crates/clementinepond_daemon/src/endpoint/report.rs
+++ b/crates/clementinepond_daemon/src/endpoint/report.rs
@@ -103,6 +103,9 @@
             observation: Box::new(observation),
         });
     }
+    if !edge.is_engine(&endpoint) {
+        return (endpoint, position);
+    }
     let path = format!("/cache-events?from={position}&wait-ms=0");
     let Some(page) = fetch::<CachePage>(&edge, &endpoint, &path).await else {
         return (endpoint, position);
--- a/crates/clementinepond_demo/tests/end_to_end/failures.rs
+++ b/crates/clementinepond_demo/tests/end_to_end/failures.rs
@@ -199,6 +199,19 @@
     fleet.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_service_gets_callers_requests_only() {
+    let fleet = RunningFleet::start(service_plan()).await.unwrap();
+    file(fleet.vms[0].caller, None, "one claim").await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for service in &fleet.services {
+        for call in service.record().calls() {
+            assert!(["/claims", "/report"].contains(&&*call.path), "{call:?}");
+        }
+    }
+    fleet.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_withdrawn_key_ends_its_open_stream() {
     let fleet = RunningFleet::start(slow_plan()).await.unwrap();
