--- a/crates/clementinepond_measure/src/experiment/placement/workload.rs
+++ b/crates/clementinepond_measure/src/experiment/placement/workload.rs
@@ -325,18 +325,18 @@
         while let Some(model) = self.neediest(&copies, &full) {
             let key = (self.models[model].id.clone(), version());
             let need = self.footprint(model);
-            let seat = (0..endpoints)
-                .filter(|&seat| free[seat] >= need)
-                .filter(|&seat| placed[seat].iter().all(|(held, _)| *held != key))
+            let place = (0..endpoints)
+                .filter(|&place| free[place] >= need)
+                .filter(|&place| placed[place].iter().all(|(held, _)| *held != key))
                 .min_by(|&left, &right| used[left].total_cmp(&used[right]));
-            let Some(seat) = seat else {
+            let Some(place) = place else {
                 full[model] = true;
                 continue;
             };
-            free[seat] -= need;
+            free[place] -= need;
             copies[model] += 1;
-            used[seat] += self.models[model].mean / f64::from(copies[model]);
-            placed[seat].push((key, self.models[model].memory));
+            used[place] += self.models[model].mean / f64::from(copies[model]);
+            placed[place].push((key, self.models[model].memory));
         }
         placed
     }
