--- a/crates/clementinepond/src/command/command_line.rs
+++ b/crates/clementinepond/src/command/command_line.rs
@@ -57,7 +57,7 @@
     #[options(help = "show a VM's view of the fleet")]
     Status(StatusOptions),
     /// Write the reference pages.
-    #[options(help = "write the reference pages of settings and commands")]
+    #[options(help = "write the reference pages of settings, commands and log events")]
     Reference(ReferenceOptions),
     /// Print a digest.
     #[options(help = "print the digest of a credential read from standard input")]
--- a/crates/clementinepond/src/command/mod.rs
+++ b/crates/clementinepond/src/command/mod.rs
@@ -7,6 +7,7 @@
 mod digest;
 mod error;
 mod load;
+mod log_event;
 mod measure;
 mod model;
 mod reference;
--- a/crates/clementinepond/src/command/reference.rs
+++ b/crates/clementinepond/src/command/reference.rs
@@ -1,6 +1,7 @@
 //! `reference`: writes the reference pages.
 
 use super::command_line::Command;
+use super::log_event::log_event_page;
 use super::{CommandError, CommandLine};
 use clementinepond_settings::vm::reference_page;
 use gumdrop::Options;
@@ -30,6 +31,7 @@
     let pages = [
         ("settings.md", reference_page()),
         ("commands.md", command_page()),
+        ("log-events.md", log_event_page()),
     ];
     for (name, page) in pages {
         let path = options.output.join(name);
