--- /dev/null
+++ b/crates/clementinepond_measure/src/experiment/roster/world/life.rs
@@ -0,0 +1,139 @@
+//! Starts, stops, pauses and cuts of VMs in the world.
+
+use super::{SECOND, World, WorldEvent, address, centre_name};
+use crate::experiment::roster::process::{SkewedClock, VmProcess, incarnation};
+use clementinepond_decide::roster::{OwnIdentity, RosterEvent};
+use clementinepond_types::{DataCentreId, PartCount, VmId};
+
+impl World {
+    /// Starts a VM with a new name in a slot.
+    pub(crate) fn start_new(&mut self, slot: usize) {
+        let name = format!("vm-{slot}-{}", self.incarnations + 1);
+        if let Ok(vm) = name.parse::<VmId>() {
+            let lag = self.below(self.plan.roster.list_lag.micros());
+            self.listed.insert(vm.clone(), (self.now + lag, u64::MAX));
+            self.start(slot, vm);
+        }
+    }
+
+    /// Starts a process under a name in a slot.
+    pub(crate) fn start(&mut self, slot: usize, vm: VmId) {
+        let data_centre = self.data_centre(slot);
+        let Ok(centre) = centre_name(data_centre).parse::<DataCentreId>() else {
+            return;
+        };
+        self.incarnations += 1;
+        let number = self.incarnations;
+        let mut settings = self.plan.roster.clone();
+        settings.seeds = self.seeds(data_centre);
+        let clock = SkewedClock {
+            offset: self.below(1_000 * SECOND),
+            rate_ppm: 999_500 + self.below(1_000),
+        };
+        let own = OwnIdentity {
+            vm: vm.clone(),
+            data_centre: centre,
+            address: address(slot).into(),
+            incarnation: incarnation(number),
+        };
+        let parts = (settings, self.plan.configuration.clone());
+        let process = VmProcess::new(own, data_centre, clock, parts, self.now);
+        self.names.insert(vm, slot);
+        if let Some(place) = self.processes.get_mut(slot) {
+            *place = Some(process);
+        }
+        let target = self.targets.get(data_centre).copied().unwrap_or(0);
+        let event = RosterEvent::ShareTarget(PartCount::new(target));
+        self.reach(slot, event.into());
+        let first = self.now + self.below(self.plan.tick);
+        self.schedule(first, WorldEvent::Tick(slot, number));
+    }
+
+    fn seeds(&self, data_centre: usize) -> Vec<Box<str>> {
+        let centres = self.plan.data_centres;
+        [
+            data_centre,
+            data_centre + centres,
+            (data_centre + 1) % centres,
+        ]
+        .into_iter()
+        .map(|slot| address(slot).into())
+        .collect()
+    }
+
+    /// Ends a process without warning; returns its VM.
+    pub(crate) fn kill(&mut self, slot: usize) -> Option<VmId> {
+        let process = self.processes.get_mut(slot)?.take()?;
+        self.leaving.remove(&slot);
+        self.names.remove(&process.vm);
+        self.ledger.note_end(&process.key(), self.now);
+        let ended = (process.data_centre, self.now);
+        self.ended.insert(process.key(), ended);
+        Some(process.vm)
+    }
+
+    /// Ends a VM, which the list shows later.
+    pub(crate) fn remove(&mut self, slot: usize) {
+        if let Some(vm) = self.kill(slot) {
+            let lag = self.below(self.plan.roster.list_lag.micros());
+            self.unlist(&vm, self.now + lag, u64::MAX);
+        }
+    }
+
+    pub(super) fn unlist(&mut self, vm: &VmId, from: u64, until: u64) {
+        if let Some(span) = self.listed.get_mut(vm) {
+            *span = if until == u64::MAX {
+                (span.0, from)
+            } else {
+                (until, u64::MAX)
+            };
+        }
+    }
+
+    /// Ends a process and starts another under its name.
+    pub(crate) fn restart(&mut self, slot: usize) {
+        if let Some(vm) = self.kill(slot) {
+            self.start(slot, vm);
+        }
+    }
+
+    /// Pauses a process; the list shows its VM as gone meanwhile.
+    pub(crate) fn pause(&mut self, slot: usize, span: u64) {
+        let until = self.now + span;
+        let Some(process) = self.processes.get_mut(slot).and_then(Option::as_mut) else {
+            return;
+        };
+        process.paused_until = until;
+        let vm = process.vm.clone();
+        let lag = self.below(self.plan.roster.list_lag.micros());
+        self.unlist(&vm, self.now, until + lag);
+    }
+
+    /// Separates a VM that goes on running; the list shows it as gone.
+    pub(crate) fn separate(&mut self, slot: usize, span: u64) {
+        let Some(process) = self.processes.get(slot).and_then(Option::as_ref) else {
+            return;
+        };
+        let vm = process.vm.clone();
+        self.separated.insert(slot);
+        self.unlist(&vm, self.now, self.now + span);
+    }
+
+    /// Begins a graceful shutdown.
+    pub(crate) fn shut_down(&mut self, slot: usize) {
+        if self.processes.get(slot).is_some_and(Option::is_some) {
+            self.leaving.insert(slot, self.now);
+            self.reach(slot, RosterEvent::ShutdownStarted.into());
+        }
+    }
+
+    /// Changes the fleet shares that the configuration gives.
+    pub(crate) fn set_targets(&mut self, targets: Vec<u32>, slots: &[usize]) {
+        self.targets = targets;
+        for &slot in slots {
+            let target = self.targets.get(self.data_centre(slot)).copied();
+            let event = RosterEvent::ShareTarget(PartCount::new(target.unwrap_or(0)));
+            self.reach(slot, event.into());
+        }
+    }
+}
