--- a/crates/clementinepond/src/command/error.rs
+++ b/crates/clementinepond/src/command/error.rs
@@ -1,7 +1,10 @@
 //! Reasons for which a command fails.
 
 use crate::output::{EXIT_FAILURE, EXIT_USAGE};
+#[cfg(feature = "suite")]
 use clementinepond_daemon::DaemonError;
+use clementinepond_entry::EntryError;
+#[cfg(feature = "suite")]
 use clementinepond_settings::vm::SettingsError;
 use derive_more::{Display, Error, From};
 
@@ -12,16 +15,23 @@
     #[display("{_0}")]
     #[from(skip)]
     Usage(#[error(not(source))] Box<str>),
+    /// The entry VM cannot run.
+    #[display("{_0}")]
+    Entry(EntryError),
     /// The settings are wrong.
+    #[cfg(feature = "suite")]
     #[display("{_0}")]
     Settings(SettingsError),
     /// The VM cannot start.
+    #[cfg(feature = "suite")]
     #[display("{_0}")]
     Daemon(DaemonError),
     /// The operating system refuses something.
+    #[cfg(feature = "suite")]
     #[display("{_0}; check permissions, addresses and space")]
     System(std::io::Error),
     /// A run failed.
+    #[cfg(feature = "suite")]
     #[display("{_0}")]
     #[from(skip)]
     Failed(#[error(not(source))] Box<str>),
@@ -34,6 +44,7 @@
     }
 
     /// Describes a failed run.
+    #[cfg(feature = "suite")]
     pub(crate) fn failed(message: &str) -> Self {
         Self::Failed(message.into())
     }
@@ -41,7 +52,11 @@
     /// Returns the exit code.
     pub(crate) const fn exit_code(&self) -> u8 {
         match self {
-            Self::Usage(_) | Self::Settings(_) => EXIT_USAGE,
+            Self::Usage(_) | Self::Entry(EntryError::Settings(_)) => EXIT_USAGE,
+            Self::Entry(EntryError::System(_)) => EXIT_FAILURE,
+            #[cfg(feature = "suite")]
+            Self::Settings(_) => EXIT_USAGE,
+            #[cfg(feature = "suite")]
             Self::Daemon(_) | Self::System(_) | Self::Failed(_) => EXIT_FAILURE,
         }
     }
--- a/crates/clementinepond/src/command/mod.rs
+++ b/crates/clementinepond/src/command/mod.rs
@@ -1,19 +1,32 @@
 //! The commands, one a file.
 
+#[cfg(feature = "suite")]
 mod assignment;
+#[cfg(feature = "suite")]
 mod check;
 mod command_line;
+#[cfg(feature = "suite")]
 mod demo;
+#[cfg(feature = "suite")]
 mod digest;
+mod entry;
 mod error;
+#[cfg(feature = "suite")]
 mod load;
+#[cfg(feature = "suite")]
 mod log_event;
+#[cfg(feature = "suite")]
 mod measure;
+#[cfg(feature = "suite")]
 mod model;
+#[cfg(feature = "suite")]
 mod reference;
 mod run;
+#[cfg(feature = "suite")]
 mod serve;
+#[cfg(feature = "suite")]
 mod stand_in;
+#[cfg(feature = "suite")]
 mod status;
 
 pub(crate) use command_line::CommandLine;
--- a/crates/clementinepond/src/command/run.rs
+++ b/crates/clementinepond/src/command/run.rs
@@ -1,10 +1,9 @@
 //! Choice of the command.
 
 use super::command_line::Command;
-use super::{
-    CommandError, CommandLine, check, demo, digest, load, measure, model, reference, serve,
-    stand_in, status,
-};
+use super::{CommandError, CommandLine, entry};
+#[cfg(feature = "suite")]
+use super::{check, demo, digest, load, measure, model, reference, serve, stand_in, status};
 use gumdrop::Options;
 use std::process::ExitCode;
 
@@ -16,15 +15,26 @@
     }
     match line.command {
         None => Err(CommandError::usage(&help())),
+        Some(Command::Entry(options)) => entry::run(&options),
+        #[cfg(feature = "suite")]
         Some(Command::Serve(options)) => serve::run(&options),
+        #[cfg(feature = "suite")]
         Some(Command::Check(options)) => check::run(&options),
+        #[cfg(feature = "suite")]
         Some(Command::Demo(options)) => demo::run(&options),
+        #[cfg(feature = "suite")]
         Some(Command::StandIn(options)) => stand_in::run(&options),
+        #[cfg(feature = "suite")]
         Some(Command::Load(options)) => load::run(&options),
+        #[cfg(feature = "suite")]
         Some(Command::Model(options)) => model::run(&options),
+        #[cfg(feature = "suite")]
         Some(Command::Measure(options)) => measure::run(&options),
+        #[cfg(feature = "suite")]
         Some(Command::Status(options)) => status::run(&options),
+        #[cfg(feature = "suite")]
         Some(Command::Reference(options)) => reference::run(&options),
+        #[cfg(feature = "suite")]
         Some(Command::Digest(options)) => digest::run(&options),
     }
 }
--- a/crates/clementinepond/src/output/mod.rs
+++ b/crates/clementinepond/src/output/mod.rs
@@ -1,8 +1,10 @@
 //! What the command prints: messages, logs and exit codes.
 
+#[cfg(feature = "suite")]
 mod log_line;
 mod message;
 
+#[cfg(feature = "suite")]
 pub(crate) use log_line::open_log;
 pub(crate) use message::report;
 
--- /dev/null
+++ b/crates/clementinepond_dispatch/src/fleet/mod.rs
@@ -0,0 +1,15 @@
+//! The fleet as the decisions see it: policy, endpoints and requests.
+
+mod account;
+mod endpoint;
+mod engine;
+mod policy;
+mod request;
+mod service_id;
+
+pub use account::{AccountPolicy, QuotaUnit};
+pub use endpoint::{EndpointEntry, EndpointPhase, HostedModel, InstanceLoad};
+pub use engine::{EnginePolicy, ModelProfile};
+pub use policy::{CallerLimits, FleetPolicy, RepeatRule, RoutePolicy, RouteTarget, ServicePolicy};
+pub use request::{ModelTarget, PromptPart, RequestProfile, TokenDemand};
+pub use service_id::ServiceId;
--- /dev/null
+++ b/crates/clementinepond_dispatch/src/health/health_table.rs
@@ -0,0 +1,113 @@
+//! Health of all endpoints, judged against their peers.
+
+use super::{EndpointHealth, EndpointOutcome};
+use clementinepond_types::{EndpointId, LocalTime};
+use fnv::FnvHashMap;
+
+/// Weight of failures below which an endpoint is never set aside.
+const FAILURE_FLOOR: f64 = 1.6;
+/// Share of failures above which an endpoint is suspect.
+const FAILURE_SHARE: f64 = 0.3;
+/// How many times the peers' share of failures an endpoint must show.
+const PEER_FACTOR: f64 = 2.0;
+
+/// How far an endpoint is trusted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum HealthGrade {
+    /// It serves normally.
+    Good,
+    /// It was set aside and takes one request at a time.
+    Trial,
+    /// It is set aside.
+    Ejected,
+}
+
+/// Health of all endpoints.
+#[derive(Debug, Default)]
+pub struct HealthTable {
+    endpoints: FnvHashMap<EndpointId, EndpointHealth>,
+}
+
+impl HealthTable {
+    /// Counts an outcome; returns true when the endpoint is now set aside.
+    ///
+    /// `peers` are the other endpoints of the same service.
+    pub fn note(
+        &mut self,
+        id: &EndpointId,
+        outcome: EndpointOutcome,
+        peers: &[EndpointId],
+        now: LocalTime,
+    ) -> bool {
+        let health = self.endpoints.entry(id.clone()).or_default();
+        let was_ejected = health.is_ejected(now);
+        health.note(outcome, now);
+        if health.is_ejected(now) {
+            return !was_ejected;
+        }
+        let is_unreachable = outcome == EndpointOutcome::Unreachable;
+        let (failures, total) = health.rates(now);
+        let share = failures / total.max(1.0);
+        if !is_unreachable && (failures < FAILURE_FLOOR || share < FAILURE_SHARE) {
+            return false;
+        }
+        if !is_unreachable && share < PEER_FACTOR * self.peer_share(id, peers, now) {
+            return false;
+        }
+        if let Some(health) = self.endpoints.get_mut(id) {
+            health.eject(now);
+        }
+        true
+    }
+
+    /// Sets an endpoint aside on the word of a peer.
+    pub fn eject(&mut self, id: &EndpointId, now: LocalTime) {
+        let health = self.endpoints.entry(id.clone()).or_default();
+        if !health.is_ejected(now) {
+            health.eject(now);
+        }
+    }
+
+    /// Returns how far an endpoint is trusted.
+    #[must_use]
+    pub fn grade(&self, id: &EndpointId, now: LocalTime) -> HealthGrade {
+        match self.endpoints.get(id) {
+            Some(health) if health.is_ejected(now) => HealthGrade::Ejected,
+            Some(health) if health.is_on_trial() && !health.may_try() => HealthGrade::Ejected,
+            Some(health) if health.is_on_trial() => HealthGrade::Trial,
+            _ => HealthGrade::Good,
+        }
+    }
+
+    /// Notes the start of a request.
+    pub fn start_run(&mut self, id: &EndpointId) {
+        if let Some(health) = self.endpoints.get_mut(id) {
+            health.start_run();
+        }
+    }
+
+    /// Notes the end of a request.
+    pub fn end_run(&mut self, id: &EndpointId) {
+        if let Some(health) = self.endpoints.get_mut(id) {
+            health.end_run();
+        }
+    }
+
+    /// Forgets an endpoint that is gone or has started anew.
+    pub fn forget(&mut self, id: &EndpointId) {
+        self.endpoints.remove(id);
+    }
+
+    fn peer_share(&mut self, id: &EndpointId, peers: &[EndpointId], now: LocalTime) -> f64 {
+        let mut failures = 0.0;
+        let mut total = 0.0;
+        for peer in peers.iter().filter(|peer| *peer != id) {
+            if let Some(health) = self.endpoints.get_mut(peer) {
+                let (failed, all) = health.rates(now);
+                failures += failed;
+                total += all;
+            }
+        }
+        if total < 1.0 { 0.0 } else { failures / total }
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_dispatch/src/lease/mod.rs
@@ -0,0 +1,356 @@
+//! Lease of the placement duty, kept in one object of the store.
+//!
+//! One VM at a time gives orders to endpoints. The holder renews the object
+//! and stops before its span ends, counted on a clock that runs through
+//! suspension. A successor waits until the object has not changed for a whole
+//! span, takes it over by a conditional update, and gives its first order only
+//! after the gap in which endpoints must not see two holders.
+
+use clementinepond_types::{LocalTime, TimeSpan, VmId};
+use serde::{Deserialize, Serialize};
+
+/// Time for which one renewal gives authority.
+const SPAN: TimeSpan = TimeSpan::from_millis(1_600);
+/// Part of the span at whose end the holder already stops, for the orders on
+/// their way.
+const STOP_MARGIN: TimeSpan = TimeSpan::from_millis(300);
+/// Time between renewals.
+const RENEWAL: TimeSpan = TimeSpan::from_millis(500);
+/// Pause after a failed call.
+const RETRY_PAUSE: TimeSpan = TimeSpan::from_millis(250);
+/// Extra time over the endpoints' own gap between two holders.
+const GAP_MARGIN: TimeSpan = TimeSpan::from_millis(300);
+
+/// What the object holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// Holder, unless the duty was released.
+    pub holder: Option<VmId>,
+    /// Holder before, while its orders may still matter.
+    pub previous: Option<VmId>,
+    /// Random number of the holder's process; recognises an own update whose
+    /// answer was lost.
+    pub incarnation: u64,
+    /// Count of updates by that process.
+    pub update: u64,
+}
+
+/// The object as it was read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredLease {
+    /// Revision of the object; 0 when there is none.
+    pub revision: u64,
+    /// Content, when it can be read.
+    pub record: Option<LeaseRecord>,
+}
+
+/// What can happen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeaseEvent {
+    /// Time passed; `holder_heard` tells whether a peer reports that it holds the duty.
+    Tick {
+        /// Whether a holder was heard.
+        holder_heard: bool,
+    },
+    /// The object was read.
+    Read(StoredLease),
+    /// The update took effect.
+    Written {
+        /// New revision.
+        revision: u64,
+    },
+    /// Another update came first.
+    Conflict(StoredLease),
+    /// No answer came; the update may have taken effect.
+    Unknown,
+    /// The process is about to stop.
+    Release,
+}
+
+/// What to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeaseEffect {
+    /// Read the object.
+    Read,
+    /// Write the object if it has the revision; 0 creates it.
+    Write {
+        /// Revision expected.
+        expected: u64,
+        /// New content.
+        record: LeaseRecord,
+    },
+    /// This VM now holds the duty and may order from a moment on.
+    Acquired {
+        /// Fencing number.
+        fence: u64,
+        /// Moment of the first order.
+        order_from: LocalTime,
+    },
+    /// This VM no longer holds the duty.
+    Lost,
+}
+
+#[derive(Debug, Clone)]
+struct HeldLease {
+    fence: u64,
+    revision: u64,
+    valid_until: LocalTime,
+    order_from: LocalTime,
+    previous: Option<VmId>,
+}
+
+/// State of one VM towards the lease.
+#[derive(Debug)]
+pub struct DutyLease {
+    me: VmId,
+    incarnation: u64,
+    update: u64,
+    order_gap: TimeSpan,
+    /// Head start that this VM leaves to the others.
+    stagger: TimeSpan,
+    held: Option<HeldLease>,
+    seen: Option<(StoredLease, LocalTime)>,
+    calling_since: Option<LocalTime>,
+    next_call: LocalTime,
+    is_released: bool,
+}
+
+impl DutyLease {
+    /// Makes the state; `order_gap` is the time within which an endpoint must
+    /// not see orders of two holders, `stagger` the head start left to others.
+    #[must_use]
+    pub fn new(
+        me: VmId,
+        incarnation: u64,
+        order_gap: TimeSpan,
+        stagger: TimeSpan,
+        now: LocalTime,
+    ) -> Self {
+        Self {
+            me,
+            incarnation,
+            update: 0,
+            order_gap,
+            stagger,
+            held: None,
+            seen: None,
+            calling_since: None,
+            next_call: now + stagger,
+            is_released: false,
+        }
+    }
+
+    /// Returns the fencing number if this VM may order now.
+    #[must_use]
+    pub fn fence(&self, now: LocalTime) -> Option<u64> {
+        let held = self.held.as_ref()?;
+        let may_order = now >= held.order_from && now + STOP_MARGIN < held.valid_until;
+        may_order.then_some(held.fence)
+    }
+
+    /// Returns the fencing number if this VM holds the duty, even while it has
+    /// to wait with orders.
+    #[must_use]
+    pub fn held_fence(&self, now: LocalTime) -> Option<u64> {
+        self.held
+            .as_ref()
+            .filter(|held| now < held.valid_until)
+            .map(|held| held.fence)
+    }
+
+    /// Handles one event.
+    pub fn reduce(&mut self, event: LeaseEvent, now: LocalTime) -> Vec<LeaseEffect> {
+        match event {
+            LeaseEvent::Tick { holder_heard } => self.tick(holder_heard, now),
+            LeaseEvent::Read(stored) => {
+                self.calling_since = None;
+                self.note_read(stored, now)
+            }
+            LeaseEvent::Written { revision } => self.note_written(revision, now),
+            LeaseEvent::Conflict(stored) => {
+                self.calling_since = None;
+                self.next_call = now + RETRY_PAUSE;
+                self.note_read(stored, now)
+            }
+            LeaseEvent::Unknown => {
+                self.calling_since = None;
+                self.next_call = now + RETRY_PAUSE;
+                // Reading shows whether the update took effect.
+                self.seen = None;
+                Vec::new()
+            }
+            LeaseEvent::Release => self.release(),
+        }
+    }
+
+    fn tick(&mut self, holder_heard: bool, now: LocalTime) -> Vec<LeaseEffect> {
+        let mut effects = Vec::new();
+        if self
+            .held
+            .as_ref()
+            .is_some_and(|held| now >= held.valid_until)
+        {
+            self.held = None;
+            self.seen = None;
+            effects.push(LeaseEffect::Lost);
+        }
+        if self.is_released || self.calling_since.is_some() || now < self.next_call {
+            return effects;
+        }
+        if let Some(held) = &self.held {
+            let expected = held.revision;
+            let previous = held.previous.clone().filter(|_| now < held.order_from);
+            let write = if self.seen.is_none() {
+                LeaseEffect::Read
+            } else {
+                self.write(expected, previous)
+            };
+            self.calling_since = Some(now);
+            self.next_call = now + RENEWAL;
+            effects.push(write);
+        } else if !holder_heard {
+            effects.extend(self.pursue(now));
+        } else {
+            self.seen = None;
+            self.next_call = now + self.stagger;
+        }
+        effects
+    }
+
+    /// Works towards the lease while no holder is heard.
+    fn pursue(&mut self, now: LocalTime) -> Option<LeaseEffect> {
+        let effect = match &self.seen {
+            None => LeaseEffect::Read,
+            Some((stored, since)) => {
+                let holder = stored
+                    .record
+                    .as_ref()
+                    .and_then(|record| record.holder.clone());
+                let is_mine = holder.as_ref() == Some(&self.me);
+                let is_free = holder.is_none() || is_mine;
+                if !is_free && now.since(*since) < SPAN {
+                    self.next_call = *since + SPAN;
+                    return None;
+                }
+                let previous = previous_of(stored).filter(|previous| *previous != self.me);
+                let expected = stored.revision;
+                self.write(expected, previous)
+            }
+        };
+        self.calling_since = Some(now);
+        self.next_call = now + RETRY_PAUSE;
+        Some(effect)
+    }
+
+    fn write(&mut self, expected: u64, previous: Option<VmId>) -> LeaseEffect {
+        self.update += 1;
+        LeaseEffect::Write {
+            expected,
+            record: LeaseRecord {
+                holder: Some(self.me.clone()),
+                previous,
+                incarnation: self.incarnation,
+                update: self.update,
+            },
+        }
+    }
+
+    fn note_read(&mut self, stored: StoredLease, now: LocalTime) -> Vec<LeaseEffect> {
+        let mine = stored
+            .record
+            .as_ref()
+            .is_some_and(|record| record.incarnation == self.incarnation);
+        if let Some(held) = &mut self.held {
+            if mine {
+                // An update whose answer was lost took effect; it counts from its reading back only.
+                held.revision = stored.revision;
+                self.seen = Some((stored, now));
+                return Vec::new();
+            }
+            self.held = None;
+            self.seen = Some((stored, now));
+            return vec![LeaseEffect::Lost];
+        }
+        let is_unchanged = self
+            .seen
+            .as_ref()
+            .is_some_and(|(seen, _)| seen.revision == stored.revision);
+        if !is_unchanged {
+            self.seen = Some((stored, now));
+        }
+        Vec::new()
+    }
+
+    fn note_written(&mut self, revision: u64, now: LocalTime) -> Vec<LeaseEffect> {
+        let sent_at = self.calling_since.take().unwrap_or(now);
+        let valid_until = sent_at + SPAN;
+        let before = self.seen.take();
+        let record = LeaseRecord {
+            holder: Some(self.me.clone()),
+            previous: None,
+            incarnation: self.incarnation,
+            update: self.update,
+        };
+        self.seen = Some((
+            StoredLease {
+                revision,
+                record: Some(record),
+            },
+            now,
+        ));
+        if let Some(held) = &mut self.held {
+            held.revision = revision;
+            held.valid_until = valid_until;
+            return Vec::new();
+        }
+        let previous = before
+            .and_then(|(stored, _)| stored.record)
+            .and_then(|record| {
+                let holder = record.holder.filter(|holder| *holder != self.me);
+                holder.or(record.previous)
+            });
+        let order_from = if previous.is_none() {
+            now
+        } else {
+            now + self.order_gap + GAP_MARGIN
+        };
+        self.held = Some(HeldLease {
+            fence: revision,
+            revision,
+            valid_until,
+            order_from,
+            previous,
+        });
+        self.next_call = now + RENEWAL;
+        vec![LeaseEffect::Acquired {
+            fence: revision,
+            order_from,
+        }]
+    }
+
+    fn release(&mut self) -> Vec<LeaseEffect> {
+        self.is_released = true;
+        let Some(held) = self.held.take() else {
+            return Vec::new();
+        };
+        self.update += 1;
+        let record = LeaseRecord {
+            holder: None,
+            previous: Some(self.me.clone()),
+            incarnation: self.incarnation,
+            update: self.update,
+        };
+        vec![
+            LeaseEffect::Write {
+                expected: held.revision,
+                record,
+            },
+            LeaseEffect::Lost,
+        ]
+    }
+}
+
+fn previous_of(stored: &StoredLease) -> Option<VmId> {
+    let record = stored.record.as_ref()?;
+    record.previous.clone().or_else(|| record.holder.clone())
+}
--- /dev/null
+++ b/crates/clementinepond_dispatch/src/ledger/endpoint_key.rs
@@ -0,0 +1,24 @@
+//! Short names for messages between VMs.
+
+use derive_more::Display;
+use fnv::FnvHasher;
+use serde::{Deserialize, Serialize};
+use std::hash::Hasher;
+
+/// Hash of a name (endpoint, model, adapter); keeps messages small.
+#[derive(
+    Debug, Display, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{_0:08x}")]
+pub struct EndpointKey(u32);
+
+impl EndpointKey {
+    /// Hashes a name.
+    #[must_use]
+    pub fn of(name: &str) -> Self {
+        let mut hasher = FnvHasher::default();
+        hasher.write(name.as_bytes());
+        let hash = hasher.finish();
+        Self((hash ^ (hash >> 32)) as u32)
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_dispatch/src/ledger/mod.rs
@@ -0,0 +1,9 @@
+//! Load of endpoints: what this VM sent, what its peers say they sent.
+
+mod endpoint_key;
+mod load_ledger;
+mod load_share;
+
+pub use endpoint_key::EndpointKey;
+pub use load_ledger::LoadLedger;
+pub use load_share::LoadShare;
--- /dev/null
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -0,0 +1,124 @@
+//! Messages between VMs, one a datagram.
+
+use crate::ledger::{EndpointKey, LoadShare};
+use clementinepond_types::{AccountId, AdapterId, DataCentreId, EndpointId, ModelId, VmId};
+use serde::{Deserialize, Serialize};
+
+/// Units of one account at one VM.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AccountNews {
+    /// Account.
+    pub account: AccountId,
+    /// Units admitted since the VM's process started.
+    pub admitted: f64,
+    /// Level of the VM's copy of the bucket.
+    pub level: f64,
+}
+
+/// Demand for one model at one VM.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct ModelDemand {
+    /// Requests a second.
+    pub arrivals_per_s: f32,
+    /// Prompt tokens a second that no cache held.
+    pub prefill_per_s: f32,
+    /// Tokens generated a second.
+    pub output_per_s: f32,
+}
+
+impl ModelDemand {
+    /// Adds another demand.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            arrivals_per_s: self.arrivals_per_s + other.arrivals_per_s,
+            prefill_per_s: self.prefill_per_s + other.prefill_per_s,
+            output_per_s: self.output_per_s + other.output_per_s,
+        }
+    }
+}
+
+/// Regular news of a VM.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PeerNews {
+    /// Random number of the process.
+    pub incarnation: u64,
+    /// Count of news sent by this process; older ones that come late are dropped.
+    pub number: u64,
+    /// Data centre.
+    pub data_centre: DataCentreId,
+    /// Version of the configuration in force; 0 when there is none.
+    pub configuration: u64,
+    /// Revision of the newest change of an endpoint's entry that the VM knows.
+    pub directory: u64,
+    /// Whether the VM's own path to the store works.
+    pub has_store: bool,
+    /// Fencing number, when the VM holds the placement duty.
+    pub duty: Option<u64>,
+    /// Accounts.
+    pub accounts: Vec<AccountNews>,
+    /// Load put on endpoints.
+    pub loads: Vec<(EndpointKey, LoadShare)>,
+    /// Demand for models.
+    pub demand: Vec<(EndpointKey, ModelDemand)>,
+    /// Endpoints that the VM has set aside.
+    pub ejected: Vec<EndpointKey>,
+}
+
+/// One adapter at one endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct AdapterPlace {
+    /// Endpoint.
+    pub endpoint: EndpointKey,
+    /// Model and adapter, hashed together.
+    pub adapter: EndpointKey,
+}
+
+/// What the holder of the placement duty tells all VMs.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct PlacementNews {
+    /// Fencing number of the holder.
+    pub fence: u64,
+    /// Count of news under this fence.
+    pub number: u64,
+    /// Adapters that are loaded.
+    pub adapters: Vec<AdapterPlace>,
+    /// Copies of models that are about to be unloaded: endpoint and model.
+    pub closing: Vec<(EndpointKey, EndpointKey)>,
+    /// Models being loaded and the milliseconds until they are expected.
+    pub loading: Vec<(EndpointKey, u32)>,
+}
+
+/// One message.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Regular news.
+    News(Box<PeerNews>),
+    /// News of placement.
+    Placement(Box<PlacementNews>),
+    /// A request waits for an adapter, or has used it.
+    AdapterWanted {
+        /// Endpoint that is to load it.
+        endpoint: EndpointId,
+        /// Model.
+        model: ModelId,
+        /// Adapter.
+        adapter: AdapterId,
+    },
+    /// An adapter is loaded.
+    AdapterReady(AdapterPlace),
+    /// A request crashed an endpoint.
+    Crash {
+        /// Fingerprint of the request.
+        fingerprint: u64,
+    },
+}
+
+/// A message with its sender.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PeerEnvelope {
+    /// Sender.
+    pub from: VmId,
+    /// Message.
+    pub message: PeerMessage,
+}
--- /dev/null
+++ b/crates/clementinepond_dispatch/src/peer/mod.rs
@@ -0,0 +1,9 @@
+//! What VMs tell each other, and what a VM knows of its peers.
+
+mod message;
+mod peer_table;
+
+pub use message::{
+    AccountNews, AdapterPlace, ModelDemand, PeerEnvelope, PeerMessage, PeerNews, PlacementNews,
+};
+pub use peer_table::{PeerState, PeerTable, RemoteUse};
--- /dev/null
+++ b/crates/clementinepond_dispatch/src/peer/peer_table.rs
@@ -0,0 +1,167 @@
+//! The other VMs, as far as this one knows.
+
+use super::{ModelDemand, PeerNews};
+use crate::ledger::EndpointKey;
+use clementinepond_types::{AccountId, DataCentreId, LocalTime, TimeSpan, VmId};
+use fnv::FnvHashMap;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+/// Silence after which a peer no longer counts as heard; several news are
+/// sent within it, so that lost datagrams alone do not silence a peer.
+const SILENCE: TimeSpan = TimeSpan::from_millis(1_500);
+/// Silence after which a peer no longer counts at all; longer than the
+/// partitions that the platform announces.
+const FORGET_AFTER: TimeSpan = TimeSpan::from_secs(25);
+
+/// One peer.
+#[derive(Debug, Clone)]
+pub struct PeerState {
+    /// Address for messages.
+    pub address: SocketAddrV4,
+    /// Last news.
+    pub news: Option<Box<PeerNews>>,
+    /// Moment of the last news, or of the first mention.
+    pub heard_at: LocalTime,
+}
+
+/// Units of an account that a peer admitted since its last news.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RemoteUse {
+    /// Account.
+    pub account: AccountId,
+    /// Units.
+    pub units: f64,
+    /// Level of the peer's bucket.
+    pub level: f64,
+    /// Whether this is the first news of that process.
+    pub is_first: bool,
+}
+
+/// All peers.
+#[derive(Debug, Default)]
+pub struct PeerTable {
+    peers: BTreeMap<VmId, PeerState>,
+}
+
+impl PeerTable {
+    /// Notes that a peer exists.
+    pub fn learn(&mut self, vm: &VmId, address: SocketAddrV4, now: LocalTime) -> bool {
+        if let Some(peer) = self.peers.get_mut(vm) {
+            let is_moved = peer.address != address;
+            peer.address = address;
+            return is_moved;
+        }
+        let state = PeerState {
+            address,
+            news: None,
+            heard_at: now,
+        };
+        self.peers.insert(vm.clone(), state);
+        true
+    }
+
+    /// Takes over news; returns what the peer's accounts used, or nothing when
+    /// the news are out of date.
+    pub fn note_news(
+        &mut self,
+        vm: &VmId,
+        address: SocketAddrV4,
+        news: Box<PeerNews>,
+        now: LocalTime,
+    ) -> Option<Vec<RemoteUse>> {
+        self.learn(vm, address, now);
+        let peer = self.peers.get_mut(vm)?;
+        let before = peer.news.as_ref();
+        let same_process = before.is_some_and(|old| old.incarnation == news.incarnation);
+        if same_process && before.is_some_and(|old| old.number >= news.number) {
+            return None;
+        }
+        let mut uses = Vec::new();
+        for account in &news.accounts {
+            let earlier = before
+                .filter(|_| same_process)
+                .and_then(|old| {
+                    old.accounts
+                        .iter()
+                        .find(|one| one.account == account.account)
+                })
+                .map_or(0.0, |one| one.admitted);
+            uses.push(RemoteUse {
+                account: account.account.clone(),
+                units: account.admitted - earlier,
+                level: account.level,
+                is_first: before.is_none(),
+            });
+        }
+        peer.news = Some(news);
+        peer.heard_at = now;
+        Some(uses)
+    }
+
+    /// Forgets peers that have been silent for long; returns their names.
+    pub fn sweep(&mut self, now: LocalTime) -> Vec<VmId> {
+        let gone: Vec<VmId> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| now.since(peer.heard_at) > FORGET_AFTER)
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in &gone {
+            self.peers.remove(vm);
+        }
+        gone
+    }
+
+    /// Returns all peers.
+    pub fn all(&self) -> impl Iterator<Item = (&VmId, &PeerState)> {
+        self.peers.iter()
+    }
+
+    /// Returns the peers that were heard lately.
+    pub fn heard(&self, now: LocalTime) -> impl Iterator<Item = (&VmId, &PeerState)> {
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| peer.news.is_some() && now.since(peer.heard_at) < SILENCE)
+    }
+
+    /// Returns the number of peers that were heard lately, and of all.
+    #[must_use]
+    pub fn contact(&self, now: LocalTime) -> (usize, usize) {
+        (self.heard(now).count(), self.peers.len())
+    }
+
+    /// Returns the holder of the placement duty, with its fencing number.
+    #[must_use]
+    pub fn duty_holder(&self, now: LocalTime) -> Option<(&VmId, u64)> {
+        self.heard(now)
+            .filter_map(|(vm, peer)| Some((vm, peer.news.as_ref()?.duty?)))
+            .max_by_key(|(_, fence)| *fence)
+    }
+
+    /// Returns a peer's address.
+    #[must_use]
+    pub fn address(&self, vm: &VmId) -> Option<SocketAddrV4> {
+        self.peers.get(vm).map(|peer| peer.address)
+    }
+
+    /// Returns a peer's data centre.
+    #[must_use]
+    pub fn data_centre(&self, vm: &VmId) -> Option<&DataCentreId> {
+        let news = self.peers.get(vm)?.news.as_ref()?;
+        Some(&news.data_centre)
+    }
+
+    /// Returns the demand of all peers that were heard lately.
+    #[must_use]
+    pub fn demand(&self, now: LocalTime) -> FnvHashMap<EndpointKey, ModelDemand> {
+        let mut sum: FnvHashMap<EndpointKey, ModelDemand> = FnvHashMap::default();
+        for (_, peer) in self.heard(now) {
+            for (model, demand) in peer.news.iter().flat_map(|news| &news.demand) {
+                let total = sum.entry(*model).or_default();
+                *total = total.plus(*demand);
+            }
+        }
+        sum
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_dispatch/src/place/choose.rs
@@ -0,0 +1,165 @@
+//! Choice of the next move.
+
+use super::view::{EngineView, PlacementView};
+use clementinepond_types::TimeSpan;
+
+/// Work a copy above which a model deserves another one, in engines.
+const CROWDED_WORK: f64 = 0.22;
+/// Share of the crowded model's work a copy that a model giving up a copy may
+/// reach at most; keeps moves from going back and forth.
+const GIVE_UP_SHARE: f64 = 0.6;
+/// Age below which a copy is not given up again.
+const SETTLING_TIME: TimeSpan = TimeSpan::from_secs(4);
+
+/// One move: give up copies at an engine, then load a model there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlacementMove {
+    /// Index of the engine.
+    pub engine: usize,
+    /// Indices of the models to unload first.
+    pub unload: Vec<usize>,
+    /// Index of the model to load.
+    pub load: usize,
+    /// Whether the weights come from the weight store.
+    pub from_store: bool,
+}
+
+/// Chooses the most useful move, if there is one worth its cost.
+#[must_use]
+pub fn choose_move(view: &PlacementView) -> Option<PlacementMove> {
+    let copies = count_copies(view);
+    let serving = count_serving(view);
+    let mut wanted: Vec<(bool, f64, usize)> = view
+        .models
+        .iter()
+        .enumerate()
+        .filter_map(|(index, model)| match copies[index] {
+            0 => Some((
+                true,
+                model.work + f64::from(u8::from(model.is_wanted)),
+                index,
+            )),
+            count => {
+                let crowding = model.work / count as f64;
+                (crowding > CROWDED_WORK).then_some((false, crowding, index))
+            }
+        })
+        .collect();
+    wanted.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)));
+    wanted.into_iter().find_map(|(is_lost, crowding, model)| {
+        let limit = if is_lost {
+            f64::INFINITY
+        } else {
+            crowding * GIVE_UP_SHARE
+        };
+        best_engine(view, model, limit, &serving)
+    })
+}
+
+/// Counts the copies of each model that serve or will serve.
+fn count_copies(view: &PlacementView) -> Vec<usize> {
+    let mut copies = vec![0; view.models.len()];
+    for engine in view.engines.iter().filter(|engine| engine.is_usable) {
+        for &model in &engine.possible {
+            copies[model] += 1;
+        }
+    }
+    copies
+}
+
+/// Counts the copies of each model that serve now.
+fn count_serving(view: &PlacementView) -> Vec<usize> {
+    let mut copies = vec![0; view.models.len()];
+    for engine in view.engines.iter().filter(|engine| engine.is_usable) {
+        for &(model, _) in &engine.models {
+            copies[model] += 1;
+        }
+    }
+    copies
+}
+
+fn best_engine(
+    view: &PlacementView,
+    model: usize,
+    limit: f64,
+    serving: &[usize],
+) -> Option<PlacementMove> {
+    let mut best: Option<(f64, PlacementMove)> = None;
+    for (index, engine) in view.engines.iter().enumerate() {
+        if !engine.is_usable || engine.is_moving || engine.possible.contains(&model) {
+            continue;
+        }
+        let is_warm = engine.in_memory.contains(&model) || engine.on_disk.contains(&model);
+        if !is_warm && !view.may_load_from_store {
+            continue;
+        }
+        let Some((unload, loss)) = make_room(view, engine, model, limit, serving) else {
+            continue;
+        };
+        let seconds = load_seconds(view, engine, model);
+        let busy: f64 = engine
+            .models
+            .iter()
+            .filter(|(held, _)| !unload.contains(held))
+            .map(|(held, _)| view.models[*held].work / serving[*held].max(1) as f64)
+            .sum();
+        let cost = loss + seconds * 0.2 + busy + 0.1 * unload.len() as f64;
+        if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
+            let chosen = PlacementMove {
+                engine: index,
+                unload,
+                load: model,
+                from_store: !is_warm,
+            };
+            best = Some((cost, chosen));
+        }
+    }
+    best.map(|(_, chosen)| chosen)
+}
+
+/// Chooses copies to give up so that the model fits; returns them with the
+/// work a copy that the worst of them will reach.
+fn make_room(
+    view: &PlacementView,
+    engine: &EngineView,
+    model: usize,
+    limit: f64,
+    serving: &[usize],
+) -> Option<(Vec<usize>, f64)> {
+    let needed = view.models[model].weights_mb;
+    let mut free = engine.free_mb;
+    let mut unload = Vec::new();
+    let mut loss = 0.0_f64;
+    let mut victims: Vec<(f64, usize)> = engine
+        .models
+        .iter()
+        .filter(|(held, age)| serving[*held] > 1 && *age >= SETTLING_TIME)
+        .map(|(held, _)| {
+            let left = (serving[*held] - 1) as f64;
+            (view.models[*held].work / left, *held)
+        })
+        .filter(|(crowding, _)| *crowding <= limit)
+        .collect();
+    victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+    for (crowding, victim) in victims {
+        if free >= needed {
+            break;
+        }
+        free += view.models[victim].weights_mb;
+        loss = loss.max(crowding);
+        unload.push(victim);
+    }
+    (free >= needed).then_some((unload, loss))
+}
+
+fn load_seconds(view: &PlacementView, engine: &EngineView, model: usize) -> f64 {
+    let [store, disk, memory] = view.models[model].load_times;
+    let span = if engine.in_memory.contains(&model) {
+        memory
+    } else if engine.on_disk.contains(&model) {
+        disk
+    } else {
+        store
+    };
+    span.micros() as f64 / 1e6
+}
--- /dev/null
+++ b/crates/clementinepond_dispatch/src/place/demand.rs
@@ -0,0 +1,67 @@
+//! Demand for models at one VM.
+
+use crate::ledger::EndpointKey;
+use crate::peer::ModelDemand;
+use clementinepond_types::LocalTime;
+use fnv::FnvHashMap;
+
+/// Time constant of the moving averages, in seconds; short against the
+/// seconds within which demand moves to other models.
+const MEMORY_S: f64 = 1.5;
+/// Demand below which a model is dropped from the news, in requests a second.
+const NEGLIGIBLE_PER_S: f32 = 0.01;
+/// Prompt tokens that one engine reads in a second while it also generates.
+const PREFILL_TOKENS_PER_S: f64 = 24_000.0;
+/// Tokens that one engine generates in a second with a comfortable batch.
+const OUTPUT_TOKENS_PER_S: f64 = 3_000.0;
+
+/// Moving averages of the demand for each model.
+#[derive(Debug, Default)]
+pub struct DemandMeter {
+    models: FnvHashMap<EndpointKey, (ModelDemand, LocalTime)>,
+}
+
+impl DemandMeter {
+    /// Counts one request, served or not.
+    pub fn note(&mut self, model: EndpointKey, prefill: u64, output: u64, now: LocalTime) {
+        let (demand, at) = self
+            .models
+            .entry(model)
+            .or_insert((ModelDemand::default(), now));
+        *demand = faded(*demand, *at, now);
+        *at = now;
+        let step = (1.0 / MEMORY_S) as f32;
+        demand.arrivals_per_s += step;
+        demand.prefill_per_s += prefill as f32 * step;
+        demand.output_per_s += output as f32 * step;
+    }
+
+    /// Returns the demand as of now.
+    pub fn news(&mut self, now: LocalTime) -> Vec<(EndpointKey, ModelDemand)> {
+        let current: Vec<_> = self
+            .models
+            .iter()
+            .map(|(model, (demand, at))| (*model, faded(*demand, *at, now)))
+            .collect();
+        self.models
+            .retain(|_, (demand, at)| faded(*demand, *at, now).arrivals_per_s > NEGLIGIBLE_PER_S);
+        current
+    }
+}
+
+fn faded(demand: ModelDemand, at: LocalTime, now: LocalTime) -> ModelDemand {
+    let seconds = now.since(at).micros() as f64 / 1e6;
+    let factor = (-seconds / MEMORY_S).exp() as f32;
+    ModelDemand {
+        arrivals_per_s: demand.arrivals_per_s * factor,
+        prefill_per_s: demand.prefill_per_s * factor,
+        output_per_s: demand.output_per_s * factor,
+    }
+}
+
+/// Converts demand to the number of engines that it keeps busy.
+#[must_use]
+pub fn work_of(demand: ModelDemand) -> f64 {
+    f64::from(demand.prefill_per_s) / PREFILL_TOKENS_PER_S
+        + f64::from(demand.output_per_s) / OUTPUT_TOKENS_PER_S
+}
--- /dev/null
+++ b/crates/clementinepond_dispatch/src/place/order_book.rs
@@ -0,0 +1,199 @@
+//! What one endpoint may hold, whatever became of the orders to it.
+
+use super::order::{EndpointOrder, OrderReply};
+use crate::fleet::EndpointEntry;
+use clementinepond_types::{AdapterId, LocalTime, ModelId, TimeSpan};
+use fnv::FnvHashMap;
+
+/// Time within which an endpoint may still carry out an order that it left
+/// unanswered.
+const LATE_ORDER_SPAN: TimeSpan = TimeSpan::from_secs(14);
+/// Time after which an accepted model load that never showed is written off.
+const LOAD_PATIENCE: TimeSpan = TimeSpan::from_secs(20);
+
+/// Where one adapter stands at one endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AdapterPhase {
+    /// An order to load it was accepted a moment ago.
+    Loading,
+    /// It is there.
+    Loaded,
+    /// An order to drop it is carried out.
+    Unloading,
+}
+
+/// One adapter at one endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct HeldAdapter {
+    /// Where it stands.
+    pub phase: AdapterPhase,
+    /// Moment of the last request for it.
+    pub used_at: LocalTime,
+    /// Moment at which it is loaded.
+    pub ready_at: LocalTime,
+}
+
+/// Orders to one endpoint in one life.
+#[derive(Debug, Default)]
+pub struct OrderBook {
+    /// Start of the life, in Unix milliseconds.
+    pub started_ms: u64,
+    /// Orders that the endpoint has accepted, once known.
+    pub order_count: Option<u64>,
+    /// Order on its way, with the moment of sending.
+    pub flight: Option<(EndpointOrder, LocalTime)>,
+    /// Orders without an answer, and until when they may be carried out.
+    doubtful: Vec<(EndpointOrder, LocalTime)>,
+    /// Model being loaded: accepted, not yet listed.
+    pub loading: Option<(ModelId, LocalTime)>,
+    /// Model being unloaded: accepted, still listed.
+    pub unloading: Option<(ModelId, LocalTime)>,
+    /// Adapters.
+    pub adapters: FnvHashMap<(ModelId, AdapterId), HeldAdapter>,
+    /// Moment before which nothing is ordered.
+    pub pause_until: LocalTime,
+    /// Moment at which each model was first seen there.
+    pub seen_since: FnvHashMap<ModelId, LocalTime>,
+    /// Moment of the last accepted order.
+    pub accepted_at: LocalTime,
+}
+
+impl OrderBook {
+    /// Takes over the endpoint's description; a new life starts a new book.
+    pub fn note_entry(&mut self, entry: &EndpointEntry, now: LocalTime) {
+        if entry.started_ms != self.started_ms {
+            let doubtful = std::mem::take(&mut self.doubtful);
+            *self = Self {
+                started_ms: entry.started_ms,
+                doubtful,
+                ..Self::default()
+            };
+        }
+        self.doubtful.retain(|(_, until)| now < *until);
+        let is_done = |model: &ModelId| entry.hosted(model).is_some();
+        if self
+            .loading
+            .as_ref()
+            .is_some_and(|(model, at)| is_done(model) || now.since(*at) > LOAD_PATIENCE)
+        {
+            self.loading = None;
+        }
+        if self
+            .unloading
+            .as_ref()
+            .is_some_and(|(model, at)| !is_done(model) || now.since(*at) > LOAD_PATIENCE)
+        {
+            self.unloading = None;
+        }
+        self.seen_since
+            .retain(|model, _| entry.hosted(model).is_some());
+        for hosted in &entry.models {
+            self.seen_since.entry(hosted.id.clone()).or_insert(now);
+        }
+        self.adapters
+            .retain(|(model, _), _| entry.hosted(model).is_some());
+    }
+
+    /// Notes an order's answer.
+    pub fn note_reply(&mut self, order: &EndpointOrder, reply: OrderReply, now: LocalTime) {
+        self.flight = None;
+        match reply {
+            OrderReply::Accepted => {
+                self.order_count = self.order_count.map(|count| count + 1);
+                self.accepted_at = now;
+                // The count moved on, so earlier copies fail their condition.
+                self.doubtful.clear();
+                self.note_accepted(order, now);
+            }
+            OrderReply::Holds => {
+                self.order_count = None;
+                self.accepted_at = now;
+                self.note_held(order, now);
+            }
+            OrderReply::Conflict => self.order_count = None,
+            OrderReply::Unknown => {
+                self.doubtful.push((order.clone(), now + LATE_ORDER_SPAN));
+            }
+            OrderReply::Refused | OrderReply::Stranger | OrderReply::NotSent => {
+                self.pause_until = now + TimeSpan::from_millis(500);
+            }
+        }
+    }
+
+    fn note_accepted(&mut self, order: &EndpointOrder, now: LocalTime) {
+        match order {
+            EndpointOrder::LoadModel(model) => self.loading = Some((model.clone(), now)),
+            EndpointOrder::UnloadModel(model) => {
+                self.unloading = Some((model.clone(), now));
+                self.adapters.retain(|(of, _), _| of != model);
+            }
+            EndpointOrder::LoadAdapter(model, adapter) => {
+                let held = HeldAdapter {
+                    phase: AdapterPhase::Loading,
+                    used_at: now,
+                    ready_at: now,
+                };
+                self.adapters.insert((model.clone(), adapter.clone()), held);
+            }
+            EndpointOrder::UnloadAdapter(model, adapter) => {
+                if let Some(held) = self.adapters.get_mut(&(model.clone(), adapter.clone())) {
+                    held.phase = AdapterPhase::Unloading;
+                    held.ready_at = now;
+                }
+            }
+        }
+    }
+
+    fn note_held(&mut self, order: &EndpointOrder, now: LocalTime) {
+        match order {
+            EndpointOrder::LoadAdapter(model, adapter) => {
+                let held = HeldAdapter {
+                    phase: AdapterPhase::Loaded,
+                    used_at: now,
+                    ready_at: now,
+                };
+                self.adapters.insert((model.clone(), adapter.clone()), held);
+            }
+            EndpointOrder::UnloadAdapter(model, adapter) => {
+                self.adapters.remove(&(model.clone(), adapter.clone()));
+            }
+            EndpointOrder::LoadModel(_) | EndpointOrder::UnloadModel(_) => {}
+        }
+    }
+
+    /// Returns the orders that may still be carried out.
+    pub fn doubtful(&self) -> impl Iterator<Item = &EndpointOrder> {
+        self.doubtful
+            .iter()
+            .map(|(order, _)| order)
+            .chain(self.flight.iter().map(|(order, _)| order))
+    }
+
+    /// Returns models that the endpoint may come to hold without being listed.
+    pub fn arriving(&self) -> impl Iterator<Item = &ModelId> {
+        let doubtful = self.doubtful().filter_map(|order| match order {
+            EndpointOrder::LoadModel(model) => Some(model),
+            _ => None,
+        });
+        doubtful.chain(self.loading.iter().map(|(model, _)| model))
+    }
+
+    /// Returns the adapters that may take up slots.
+    #[must_use]
+    pub fn adapter_slots_taken(&self) -> usize {
+        let arriving = self
+            .doubtful()
+            .filter(|order| {
+                matches!(order, EndpointOrder::LoadAdapter(model, adapter)
+                if !self.adapters.contains_key(&(model.clone(), adapter.clone())))
+            })
+            .count();
+        self.adapters.len() + arriving
+    }
+
+    /// Tells whether an order may be sent now.
+    #[must_use]
+    pub fn is_idle(&self, now: LocalTime) -> bool {
+        self.flight.is_none() && now >= self.pause_until
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/caller/answer_body.rs
@@ -0,0 +1,62 @@
+//! Bodies of answers to callers.
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use hyper::body::{Body, Frame, SizeHint};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::sync::mpsc;
+
+/// The answer broke off; the connection is closed short of the body's end.
+#[derive(Debug, Display, Error, Clone, Copy)]
+#[display("the endpoint's answer broke off")]
+pub(crate) struct BrokenAnswer;
+
+/// Body of an answer: whole, or relayed piece by piece.
+#[derive(Debug)]
+pub(crate) enum AnswerBody {
+    Whole(Option<Bytes>),
+    Relayed(mpsc::Receiver<Result<Bytes, BrokenAnswer>>),
+}
+
+impl AnswerBody {
+    pub(crate) fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Some(bytes.into()))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenAnswer;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => {
+                let frame = bytes.take().filter(|bytes| !bytes.is_empty());
+                Poll::Ready(frame.map(|bytes| Ok(Frame::data(bytes))))
+            }
+            Self::Relayed(pieces) => pieces
+                .poll_recv(context)
+                .map(|piece| piece.map(|piece| piece.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Self::Relayed(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Relayed(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/caller/gate.rs
@@ -0,0 +1,205 @@
+//! Checks before a request is sent anywhere.
+
+use super::refusal::OwnAnswer;
+use crate::clock::BootClock;
+use crate::endpoint::OutgoingRequest;
+use crate::node::EntryNode;
+use bytes::Bytes;
+use clementinepond_dispatch::fleet::{
+    EnginePolicy, QuotaUnit, RepeatRule, RequestProfile, RoutePolicy, ServiceId,
+};
+use clementinepond_dispatch::quota::QuotaVerdict;
+use clementinepond_dispatch::table::{KeyCheck, RouteTable, pick_service};
+use clementinepond_platform::{KeyText, read_key};
+use clementinepond_types::{AccountId, LocalTime, TimeSpan};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::HOST;
+use hyper::http::request::Parts;
+use rand::RngExt;
+use std::rc::Rc;
+
+/// Time after which a caller may come back when the VM has just started.
+const STARTING_RETRY: TimeSpan = TimeSpan::from_millis(700);
+/// Largest part of a caller's time for which it is asked to stay away.
+const RETRY_PARTS: (u64, u64) = (1, 4);
+
+/// A request that may be sent.
+#[derive(Debug)]
+pub(crate) struct AdmittedRequest {
+    pub(crate) table: Rc<RouteTable>,
+    pub(crate) profile: RequestProfile,
+    pub(crate) route: RoutePolicy,
+    pub(crate) service: ServiceId,
+    pub(crate) account: Option<AccountId>,
+    /// Rank at the endpoint before urgency is considered; 0 is the most urgent.
+    pub(crate) rank: u8,
+    pub(crate) outgoing: OutgoingRequest,
+    pub(crate) arrival: LocalTime,
+    pub(crate) deadline: LocalTime,
+    /// Units charged to the account.
+    pub(crate) cost: f64,
+    /// Path, account and body, hashed.
+    pub(crate) fingerprint: u64,
+}
+
+impl AdmittedRequest {
+    pub(crate) fn engine(&self) -> Option<&EnginePolicy> {
+        self.table.service(&self.service)?.engine.as_ref()
+    }
+
+    pub(crate) fn may_repeat(&self) -> bool {
+        self.route.repeat.may_repeat()
+    }
+
+    pub(crate) fn is_stream(&self) -> bool {
+        self.route.repeat.is_stream()
+    }
+
+    /// Shortens a span to what a caller can wait before it comes back.
+    pub(crate) fn bounded_retry(&self, span: TimeSpan) -> TimeSpan {
+        let left = BootClock::now().until(self.deadline);
+        span.min(left.fraction(RETRY_PARTS.0, RETRY_PARTS.1))
+    }
+}
+
+/// Checks route, key, size and quota; reads the body.
+pub(crate) async fn admit(
+    node: &Rc<EntryNode>,
+    parts: Parts,
+    body: Incoming,
+    profile: RequestProfile,
+    arrival: LocalTime,
+) -> Result<AdmittedRequest, OwnAnswer> {
+    let Some(table) = node.table() else {
+        return Err(OwnAnswer::NotRun("no_configuration", STARTING_RETRY));
+    };
+    let route = find_route(node, &table, &parts, arrival)?.clone();
+    let account = check_key(node, &table, &route, &parts, arrival)?;
+    let patience = profile.patience.unwrap_or(route.timeout);
+    let deadline = arrival + patience.min(route.timeout);
+    let limits = &table.policy().limits;
+    if body.size_hint().lower() > limits.body_bytes as u64 {
+        return Err(OwnAnswer::TooLarge);
+    }
+    let limit = limits.body_bytes;
+    let bytes = read_body(body, limit, arrival.until(deadline)).await?;
+    let Some(service) = pick_service(&route, rand::rng().random_range(0..u32::MAX)).cloned() else {
+        return Err(OwnAnswer::NotRun("no_service", STARTING_RETRY));
+    };
+    let cost = charge(node, &table, account.as_ref(), &profile)?;
+    let fingerprint = fingerprint(&parts, account.as_ref(), &bytes);
+    let account_rank = account
+        .as_ref()
+        .and_then(|id| table.account(id))
+        .and_then(|policy| policy.priority);
+    let rank = account_rank.unwrap_or(route.priority);
+    Ok(AdmittedRequest {
+        profile,
+        service,
+        account,
+        rank,
+        outgoing: OutgoingRequest {
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body: bytes,
+        },
+        arrival,
+        deadline,
+        cost,
+        fingerprint,
+        route,
+        table,
+    })
+}
+
+fn find_route<'a>(
+    node: &EntryNode,
+    table: &'a RouteTable,
+    parts: &Parts,
+    now: LocalTime,
+) -> Result<&'a RoutePolicy, OwnAnswer> {
+    let header = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let Some(host) = parts.uri.host().or(header) else {
+        return Err(OwnAnswer::BadRequest("host_missing"));
+    };
+    match table.route(host, parts.uri.path()) {
+        Some(route) => Ok(route),
+        // A VM that cannot see the newest configuration does not know better.
+        None if !node.has_store(now) => {
+            Err(OwnAnswer::NotRun("configuration_stale", STARTING_RETRY))
+        }
+        None => Err(OwnAnswer::NoRoute),
+    }
+}
+
+fn check_key(
+    node: &EntryNode,
+    table: &RouteTable,
+    route: &RoutePolicy,
+    parts: &Parts,
+    now: LocalTime,
+) -> Result<Option<AccountId>, OwnAnswer> {
+    let digest = match read_key(&parts.headers) {
+        KeyText::Present(digest) => Some(digest),
+        KeyText::Absent => None,
+    };
+    match table.check_key(route, digest.as_ref()) {
+        KeyCheck::Account(id) => Ok(Some(id.clone())),
+        KeyCheck::Open => Ok(None),
+        KeyCheck::Unknown if digest.is_some() && !node.has_store(now) => {
+            Err(OwnAnswer::NotRun("configuration_stale", STARTING_RETRY))
+        }
+        KeyCheck::Unknown => Err(OwnAnswer::BadKey),
+    }
+}
+
+async fn read_body(body: Incoming, limit: usize, time: TimeSpan) -> Result<Bytes, OwnAnswer> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let reading = Limited::new(body, limit).collect();
+    match tokio::time::timeout(time.duration(), reading).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(OwnAnswer::TooLarge)
+        }
+        Ok(Err(_)) => Err(OwnAnswer::BadRequest("body_broken")),
+        Err(_) => Err(OwnAnswer::BadRequest("body_late")),
+    }
+}
+
+fn charge(
+    node: &EntryNode,
+    table: &RouteTable,
+    account: Option<&AccountId>,
+    profile: &RequestProfile,
+) -> Result<f64, OwnAnswer> {
+    let Some(policy) = account.and_then(|id| table.account(id)) else {
+        return Ok(0.0);
+    };
+    let units = match (policy.unit, profile.tokens) {
+        (QuotaUnit::Tokens, Some(tokens)) => tokens.total(),
+        (QuotaUnit::Tokens | QuotaUnit::Requests, _) => policy.plain_cost,
+    } as f64;
+    let now = BootClock::now();
+    match node.state.borrow_mut().quotas.charge(policy, units, now) {
+        QuotaVerdict::Within => Ok(units),
+        QuotaVerdict::Over { retry_after } => Err(OwnAnswer::OverQuota(retry_after)),
+    }
+}
+
+fn fingerprint(parts: &Parts, account: Option<&AccountId>, body: &Bytes) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(parts.uri.path().as_bytes());
+    hasher.update(account.map_or("", |id| id.as_str()).as_bytes());
+    hasher.update(body);
+    let digest = *hasher.finalize().as_bytes();
+    u64::from_le_bytes(std::array::from_fn(|index| digest[index]))
+}
+
+/// Tells whether the answer of a request is a stream that may be resumed.
+pub(crate) fn is_resumable(request: &AdmittedRequest) -> bool {
+    request.route.repeat == RepeatRule::ResumableStream
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/caller/mod.rs
@@ -0,0 +1,15 @@
+//! Callers: connections, requests, answers.
+
+mod answer_body;
+mod connection;
+mod event_reader;
+mod gate;
+mod readiness;
+mod refusal;
+mod relay;
+mod serve_request;
+mod stream;
+mod unary;
+
+pub(crate) use connection::{StopStages, serve_callers};
+pub(crate) use readiness::{serve_metrics, serve_readiness};
--- /dev/null
+++ b/crates/clementinepond_entry/src/caller/serve_request.rs
@@ -0,0 +1,159 @@
+//! One request of a caller, from its head to its answer.
+
+use super::answer_body::AnswerBody;
+use super::gate::{AdmittedRequest, admit};
+use super::refusal::OwnAnswer;
+use super::{stream, unary};
+use crate::clock::BootClock;
+use crate::node::{EntryNode, increment};
+use clementinepond_dispatch::budget::RetryBudget;
+use clementinepond_dispatch::ledger::EndpointKey;
+use clementinepond_platform::read_request;
+use clementinepond_types::{LocalTime, RequestId, TimeSpan};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{Request, Response};
+use std::rc::Rc;
+
+/// Part of a prompt that counts as uncached when its shared parts are known.
+const UNCACHED_SHARE: f64 = 0.5;
+
+/// Answers one request.
+pub(crate) async fn serve_request(
+    node: Rc<EntryNode>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let arrival = BootClock::now();
+    let (parts, body) = request.into_parts();
+    let profile = read_request(&parts.headers);
+    let id = profile.id.clone();
+    let mut left = LeaveNote {
+        node: Rc::clone(&node),
+        id: id.clone(),
+        arrival,
+        is_answered: false,
+    };
+    let admitted = admit(&node, parts, body, profile, arrival).await;
+    let answered = match admitted {
+        Ok(request) => serve_admitted(&node, request).await,
+        Err(answer) => Err(answer),
+    };
+    left.is_answered = true;
+    let mut response = match answered {
+        Ok(response) => response,
+        Err(answer) => own_answer(&node, answer, id.as_ref(), arrival),
+    };
+    if node.is_stopping.get() {
+        let headers = response.headers_mut();
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn serve_admitted(
+    node: &Rc<EntryNode>,
+    request: AdmittedRequest,
+) -> Result<Response<AnswerBody>, OwnAnswer> {
+    if request.profile.id.is_none() {
+        refund(node, &request);
+        return Err(OwnAnswer::BadRequest("attempt_id_missing"));
+    }
+    note_request(node, &request);
+    let now = BootClock::now();
+    if node
+        .state
+        .borrow()
+        .suspects
+        .is_condemned(request.fingerprint, now)
+    {
+        refund(node, &request);
+        return Err(OwnAnswer::NotRun(
+            "crashed_endpoints",
+            TimeSpan::from_secs(30),
+        ));
+    }
+    let request = Rc::new(request);
+    let answered = if request.is_stream() {
+        stream::serve(node, Rc::clone(&request)).await
+    } else {
+        unary::serve(node, &request).await
+    };
+    if let Err(OwnAnswer::NotRun(..)) = answered {
+        refund(node, &request);
+    }
+    answered
+}
+
+fn refund(node: &EntryNode, request: &AdmittedRequest) {
+    if let Some(account) = &request.account {
+        node.state.borrow_mut().quotas.refund(account, request.cost);
+    }
+}
+
+/// Counts a request in the retry budget and in the demand for its model.
+fn note_request(node: &EntryNode, request: &AdmittedRequest) {
+    let now = BootClock::now();
+    let retry = node.settings().retry.clone();
+    let mut state = node.state.borrow_mut();
+    state
+        .budgets
+        .entry(request.service.clone())
+        .or_insert_with(|| {
+            let window = TimeSpan::from_millis((retry.window_s * 1e3) as u64);
+            RetryBudget::new(retry.ratio, retry.allowance, window)
+        })
+        .note_request(now);
+    if let Some(target) = &request.profile.target {
+        let tokens = request.profile.tokens.unwrap_or_default();
+        let output = request.profile.output_hint.unwrap_or(tokens.output / 2);
+        let prefill = (tokens.prompt as f64 * UNCACHED_SHARE) as u64;
+        let model = EndpointKey::of(target.model.as_str());
+        state
+            .demand
+            .note(model, prefill, output.min(tokens.output), now);
+    }
+}
+
+fn own_answer(
+    node: &EntryNode,
+    answer: OwnAnswer,
+    id: Option<&RequestId>,
+    arrival: LocalTime,
+) -> Response<AnswerBody> {
+    let counter = match answer {
+        OwnAnswer::Lost(_) | OwnAnswer::TimedOut => &node.stats.failed,
+        _ => &node.stats.refused,
+    };
+    increment(counter);
+    let version = node.table().map_or(0, |table| table.policy().version);
+    log::info!(
+        "event=request_ended request={} outcome=own_answer status={} reason={} configuration={version} duration_ms={}",
+        id.map_or("-", RequestId::as_str),
+        answer.status().as_u16(),
+        answer.reason(),
+        BootClock::now().since(arrival).millis()
+    );
+    answer.response(id)
+}
+
+/// Notes a caller that left before its answer began.
+struct LeaveNote {
+    node: Rc<EntryNode>,
+    id: Option<RequestId>,
+    arrival: LocalTime,
+    is_answered: bool,
+}
+
+impl Drop for LeaveNote {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        increment(&self.node.stats.caller_left);
+        log::info!(
+            "event=request_ended request={} outcome=caller_left duration_ms={}",
+            self.id.as_ref().map_or("-", RequestId::as_str),
+            BootClock::now().since(self.arrival).millis()
+        );
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/duty/lease_task.rs
@@ -0,0 +1,142 @@
+//! Calls that keep the lease.
+
+use crate::clock::BootClock;
+use crate::node::{EntryNode, increment};
+use crate::store::{StoreClient, WriteOutcome};
+use clementinepond_dispatch::lease::{
+    DutyLease, LeaseEffect, LeaseEvent, LeaseRecord, StoredLease,
+};
+use clementinepond_dispatch::select::rendezvous_weight;
+use clementinepond_platform::{LEASE_KIND, StoreObject};
+use clementinepond_types::{LocalTime, TimeSpan};
+use std::rc::Rc;
+use tokio_util::sync::CancellationToken;
+
+/// Name of the lease.
+const LEASE_NAME: &str = "placement";
+/// Time between two looks at the lease.
+const TICK: TimeSpan = TimeSpan::from_millis(100);
+/// Head start of the first VM in line over the last.
+const STAGGER_RANGE_MS: u64 = 900;
+
+/// Keeps or pursues the lease until the VM stops.
+pub(crate) async fn run_lease(node: Rc<EntryNode>, stop: CancellationToken) {
+    let settings = node.settings();
+    let stagger = rendezvous_weight(0, settings.vm.as_str()) % STAGGER_RANGE_MS;
+    let lease = DutyLease::new(
+        settings.vm.clone(),
+        node.incarnation,
+        settings.orders.holder_gap(),
+        TimeSpan::from_millis(stagger),
+        BootClock::now(),
+    );
+    node.state.borrow_mut().lease = Some(lease);
+    let mut client = StoreClient::new(settings.store.address);
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = tokio::time::sleep(TICK.duration()) => {}
+        }
+        let now = BootClock::now();
+        let holder_heard = node.state.borrow().peers.duty_holder(now).is_some();
+        let effects = reduce(&node, LeaseEvent::Tick { holder_heard }, now);
+        carry_out(&node, &mut client, effects).await;
+    }
+}
+
+/// Gives the lease up before the VM stops.
+pub(crate) async fn release_lease(node: &Rc<EntryNode>) {
+    let mut client = StoreClient::new(node.settings().store.address);
+    let effects = reduce(node, LeaseEvent::Release, BootClock::now());
+    carry_out(node, &mut client, effects).await;
+}
+
+fn reduce(node: &EntryNode, event: LeaseEvent, now: LocalTime) -> Vec<LeaseEffect> {
+    let mut state = node.state.borrow_mut();
+    match &mut state.lease {
+        Some(lease) => lease.reduce(event, now),
+        None => Vec::new(),
+    }
+}
+
+async fn carry_out(node: &Rc<EntryNode>, client: &mut StoreClient, effects: Vec<LeaseEffect>) {
+    let mut queue: std::collections::VecDeque<LeaseEffect> = effects.into();
+    while let Some(effect) = queue.pop_front() {
+        let event = match effect {
+            LeaseEffect::Read => read(node, client).await,
+            LeaseEffect::Write { expected, record } => write(node, client, expected, &record).await,
+            LeaseEffect::Acquired { fence, order_from } => {
+                let wait = BootClock::now().until(order_from);
+                log::info!("event=duty_acquired fence={fence} orders_in={wait}");
+                node.start_duty(BootClock::now());
+                continue;
+            }
+            LeaseEffect::Lost => {
+                log::info!("event=duty_lost");
+                continue;
+            }
+        };
+        queue.extend(reduce(node, event, BootClock::now()));
+    }
+}
+
+async fn read(node: &EntryNode, client: &mut StoreClient) -> LeaseEvent {
+    increment(&node.stats.store_calls);
+    match client.read(LEASE_KIND, LEASE_NAME).await {
+        Ok(Some(object)) => LeaseEvent::Read(stored(object)),
+        Ok(None) => LeaseEvent::Read(StoredLease {
+            revision: 0,
+            record: None,
+        }),
+        Err(error) => {
+            log::debug!("event=lease_unread error=\"{error}\"");
+            LeaseEvent::Unknown
+        }
+    }
+}
+
+async fn write(
+    node: &EntryNode,
+    client: &mut StoreClient,
+    expected: u64,
+    record: &LeaseRecord,
+) -> LeaseEvent {
+    increment(&node.stats.store_calls);
+    let spec = match serde_json::to_value(record) {
+        Ok(spec) => spec,
+        Err(error) => {
+            log::error!("event=lease_unwritable error=\"{error}\"");
+            return LeaseEvent::Unknown;
+        }
+    };
+    let revision = (expected > 0).then_some(expected);
+    match client.write(LEASE_KIND, LEASE_NAME, revision, &spec).await {
+        WriteOutcome::Written(object) => LeaseEvent::Written {
+            revision: object.revision,
+        },
+        WriteOutcome::Conflict(Some(object)) => LeaseEvent::Conflict(stored(object)),
+        WriteOutcome::Conflict(None) => LeaseEvent::Unknown,
+        WriteOutcome::Refused(status) => {
+            log::debug!("event=lease_refused status={}", status.as_u16());
+            LeaseEvent::Unknown
+        }
+        WriteOutcome::Unknown(failure) => {
+            log::debug!("event=lease_unknown error=\"{failure}\"");
+            LeaseEvent::Unknown
+        }
+    }
+}
+
+fn stored(object: StoreObject) -> StoredLease {
+    let record = match serde_json::from_value(object.spec) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            log::warn!("event=object_malformed kind={LEASE_KIND} error=\"{error}\"");
+            None
+        }
+    };
+    StoredLease {
+        revision: object.revision,
+        record,
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/endpoint/attempt.rs
@@ -0,0 +1,176 @@
+//! One attempt: one request on one connection to one endpoint.
+
+use super::{PooledConnection, ReuseRule};
+use crate::clock::BootClock;
+use crate::http::{ConnectFailure, Connection, open_connection};
+use crate::node::EntryNode;
+use bytes::Bytes;
+use clementinepond_platform::{
+    AnswerMark, AttemptHeaders, read_answer, read_keep_alive, write_attempt_headers,
+};
+use clementinepond_types::{EndpointId, LocalTime, RequestId, TimeSpan};
+use derive_more::{Display, Error};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, EXPECT, HeaderMap};
+use hyper::{Method, Request, Response, Uri};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+/// Longest time for opening a connection; a lost opening packet is sent again
+/// only after seconds.
+const CONNECT_LIMIT: TimeSpan = TimeSpan::from_millis(350);
+
+/// A caller's request, read whole.
+#[derive(Debug, Clone)]
+pub(crate) struct OutgoingRequest {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// Why an attempt gave no answer.
+#[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AttemptFailure {
+    /// Nothing was sent.
+    #[display("no connection ({_0}); nothing was sent")]
+    NotSent(#[error(not(source))] ConnectFailure),
+    /// The request may have run.
+    #[display("connection lost; the request may have run")]
+    Broken,
+    /// The answer belongs to another request, or bears no signature.
+    #[display("answer of another request; the request may have run")]
+    Foreign,
+}
+
+/// Head of an answer, with the connection that carries its body.
+#[derive(Debug)]
+pub(crate) struct AttemptAnswer {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) mark: AnswerMark,
+    pub(crate) line: AnswerLine,
+}
+
+/// Connection of an answer; returns to the pool when the answer is whole.
+#[derive(Debug)]
+pub(crate) struct AnswerLine {
+    connection: Connection,
+    endpoint: EndpointId,
+    stated_timeout: Option<TimeSpan>,
+    closes: bool,
+}
+
+impl AnswerLine {
+    /// Keeps the connection after a whole answer.
+    pub(crate) fn finish(self, node: &EntryNode) {
+        if self.closes || self.connection.sender.is_closed() {
+            return;
+        }
+        let pooled = PooledConnection::new(self.connection, self.stated_timeout, BootClock::now());
+        node.pool.put(&self.endpoint, pooled);
+    }
+}
+
+/// What one attempt needs.
+#[derive(Debug)]
+pub(crate) struct Attempt<'a> {
+    pub(crate) endpoint: &'a EndpointId,
+    pub(crate) address: SocketAddrV4,
+    pub(crate) request: &'a OutgoingRequest,
+    pub(crate) request_id: Option<&'a RequestId>,
+    pub(crate) headers: AttemptHeaders<'a>,
+    pub(crate) deadline: LocalTime,
+    pub(crate) reuse: ReuseRule,
+}
+
+/// Sends the request and waits for the head of the answer.
+///
+/// Dropping the future closes the connection, which stops the endpoint's work.
+pub(crate) async fn start_attempt(
+    node: &Rc<EntryNode>,
+    attempt: Attempt<'_>,
+) -> Result<AttemptAnswer, AttemptFailure> {
+    let mut kept = node
+        .pool
+        .take(attempt.endpoint, attempt.reuse)
+        .map(|pooled| pooled.connection);
+    loop {
+        let was_kept = kept.is_some();
+        let mut connection = match kept.take() {
+            Some(connection) => connection,
+            None => open_connection(attempt.address, CONNECT_LIMIT)
+                .await
+                .map_err(AttemptFailure::NotSent)?,
+        };
+        if connection.sender.ready().await.is_err() {
+            if was_kept {
+                continue;
+            }
+            return Err(AttemptFailure::NotSent(ConnectFailure::Failed));
+        }
+        let request = outgoing(&attempt);
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => return accept(attempt, connection, response),
+            Err(mut error) => {
+                let is_unsent = error.take_message().is_some();
+                if is_unsent && was_kept {
+                    continue;
+                }
+                if is_unsent {
+                    return Err(AttemptFailure::NotSent(ConnectFailure::Failed));
+                }
+                return Err(AttemptFailure::Broken);
+            }
+        }
+    }
+}
+
+fn outgoing(attempt: &Attempt<'_>) -> Request<Full<Bytes>> {
+    let mut headers = attempt.request.headers.clone();
+    headers.remove(EXPECT);
+    headers.remove(CONTENT_LENGTH);
+    let time_left = BootClock::now().until(attempt.deadline);
+    let marks = AttemptHeaders {
+        time_left,
+        ..attempt.headers.clone()
+    };
+    write_attempt_headers(&mut headers, &marks);
+    let mut request = Request::new(Full::new(attempt.request.body.clone()));
+    *request.method_mut() = attempt.request.method.clone();
+    *request.uri_mut() = attempt.request.uri.clone();
+    *request.headers_mut() = headers;
+    request
+}
+
+fn accept(
+    attempt: Attempt<'_>,
+    connection: Connection,
+    response: Response<Incoming>,
+) -> Result<AttemptAnswer, AttemptFailure> {
+    let mark = read_answer(response.headers());
+    let is_foreign = mark.request.is_some() && mark.request.as_ref() != attempt.request_id;
+    let is_unsigned_success = response.status().is_success() && !mark.is_signed;
+    if is_foreign || is_unsigned_success {
+        log::warn!(
+            "event=answer_foreign endpoint={} request={} answer={} signed={}",
+            attempt.endpoint,
+            attempt.request_id.map_or("-", |id| id.as_str()),
+            mark.request.as_ref().map_or("-", |id| id.as_str()),
+            mark.is_signed
+        );
+        return Err(AttemptFailure::Foreign);
+    }
+    let (stated_timeout, closes) = read_keep_alive(response.headers());
+    let line = AnswerLine {
+        connection,
+        endpoint: attempt.endpoint.clone(),
+        stated_timeout,
+        closes,
+    };
+    Ok(AttemptAnswer {
+        response,
+        mark,
+        line,
+    })
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/endpoint/mod.rs
@@ -0,0 +1,9 @@
+//! Attempts at endpoints.
+
+mod attempt;
+mod pool;
+mod pooled_connection;
+
+pub(crate) use attempt::{Attempt, AttemptAnswer, AttemptFailure, OutgoingRequest, start_attempt};
+pub(crate) use pool::ConnectionPool;
+pub(crate) use pooled_connection::{PooledConnection, ReuseRule};
--- /dev/null
+++ b/crates/clementinepond_entry/src/endpoint/pool.rs
@@ -0,0 +1,54 @@
+//! Idle connections to endpoints.
+
+use super::{PooledConnection, ReuseRule};
+use crate::clock::BootClock;
+use clementinepond_types::EndpointId;
+use fnv::FnvHashMap;
+use std::cell::RefCell;
+
+/// Idle connections kept to one endpoint; bounds descriptors on small VMs.
+const IDLE_LIMIT: usize = 12;
+
+/// Idle connections by endpoint.
+#[derive(Debug, Default)]
+pub(crate) struct ConnectionPool {
+    idle: RefCell<FnvHashMap<EndpointId, Vec<PooledConnection>>>,
+}
+
+impl ConnectionPool {
+    /// Takes the connection that was used last, if one is fresh enough.
+    pub(crate) fn take(&self, id: &EndpointId, rule: ReuseRule) -> Option<PooledConnection> {
+        let now = BootClock::now();
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(id)?;
+        connections.retain(|one| one.is_usable(ReuseRule::Repeatable, now));
+        let index = connections
+            .iter()
+            .rposition(|one| one.is_usable(rule, now))?;
+        Some(connections.remove(index))
+    }
+
+    /// Keeps a connection for another request.
+    pub(crate) fn put(&self, id: &EndpointId, connection: PooledConnection) {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(id.clone()).or_default();
+        if connections.len() < IDLE_LIMIT {
+            connections.push(connection);
+        }
+    }
+
+    /// Closes the idle connections to an endpoint.
+    pub(crate) fn forget(&self, id: &EndpointId) {
+        self.idle.borrow_mut().remove(id);
+    }
+
+    /// Closes connections that are no longer of use.
+    pub(crate) fn sweep(&self) {
+        let now = BootClock::now();
+        let mut idle = self.idle.borrow_mut();
+        for connections in idle.values_mut() {
+            connections.retain(|one| one.is_usable(ReuseRule::Repeatable, now));
+        }
+        idle.retain(|_, connections| !connections.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/http/connect.rs
@@ -0,0 +1,105 @@
+//! Opening of client connections.
+
+use bytes::Bytes;
+use clementinepond_types::TimeSpan;
+use derive_more::{Display, Error};
+use http_body_util::Full;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// Time without acknowledgement after which the kernel gives a connection up.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Idle time after which the kernel probes a connection.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+/// Time between two probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Unanswered probes after which a connection counts as dead.
+const PROBE_COUNT: u32 = 2;
+
+/// Reason for which no connection could be made.
+#[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConnectFailure {
+    #[display("connection refused")]
+    Refused,
+    #[display("no connection in time")]
+    Timeout,
+    #[display("connection failed")]
+    Failed,
+}
+
+/// An open connection; closed when dropped.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Opens a connection within a time limit.
+pub(crate) async fn open_connection(
+    address: SocketAddrV4,
+    limit: TimeSpan,
+) -> Result<Connection, ConnectFailure> {
+    let connecting = TcpStream::connect(address);
+    let stream = match tokio::time::timeout(limit.duration(), connecting).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            return Err(ConnectFailure::Refused);
+        }
+        Ok(Err(_)) => return Err(ConnectFailure::Failed),
+        Err(_) => return Err(ConnectFailure::Timeout),
+    };
+    tune_socket(&stream);
+    let (sender, driver) = Builder::new()
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|_| ConnectFailure::Failed)?;
+    let driver = tokio::task::spawn_local(async move {
+        if let Err(error) = driver.await {
+            log::trace!("event=connection_ended address={address} error=\"{error}\"");
+        }
+    });
+    Ok(Connection {
+        sender,
+        driver: driver.abort_handle(),
+    })
+}
+
+/// Sends small writes at once and notices dead peers; a platform that lacks an
+/// option serves without it.
+pub(crate) fn tune_socket(stream: &TcpStream) {
+    tune(stream, Some(UNACKNOWLEDGED_TIMEOUT));
+}
+
+/// The same for callers, who may be slow to read.
+pub(crate) fn tune_caller_socket(stream: &TcpStream) {
+    tune(stream, None);
+}
+
+fn tune(stream: &TcpStream, unacknowledged: Option<Duration>) {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBE_COUNT);
+    let tuned = stream
+        .set_nodelay(true)
+        .and_then(|()| socket.set_tcp_keepalive(&keepalive))
+        .and_then(|()| match unacknowledged {
+            Some(limit) => socket.set_tcp_user_timeout(Some(limit)),
+            None => Ok(()),
+        });
+    if let Err(error) = tuned {
+        log::debug!("event=socket_untuned error=\"{error}\"");
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/http/mod.rs
@@ -0,0 +1,9 @@
+//! Connections and small calls over HTTP.
+
+mod call;
+mod connect;
+
+pub(crate) use call::{CallFailure, HttpLine};
+pub(crate) use connect::{
+    ConnectFailure, Connection, open_connection, tune_caller_socket, tune_socket,
+};
--- /dev/null
+++ b/crates/clementinepond_entry/src/log_sink/mod.rs
@@ -0,0 +1,129 @@
+//! Log lines that never block the VM.
+//!
+//! Lines collect in a bounded buffer and leave when standard output takes
+//! them. A second's budget bounds their volume; what does not fit is counted
+//! and reported with the next line that does.
+
+use log::{LevelFilter, Log, Metadata, Record};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use std::fmt::Write;
+use std::sync::Mutex;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Bytes that wait for standard output at most.
+const BUFFER_LIMIT_BYTES: usize = 128 * 1024;
+/// Lines a second at most; a VM ends some tens of requests a second.
+const LINES_PER_SECOND: u32 = 400;
+/// Bytes that a pipe takes without blocking once it polls as writable.
+const PIPE_CHUNK_BYTES: usize = 4_096;
+
+#[derive(Debug, Default)]
+struct SinkState {
+    buffer: Vec<u8>,
+    second: u64,
+    lines: u32,
+    dropped: u64,
+}
+
+/// Sink of log lines.
+#[derive(Debug, Default)]
+pub struct LogSink {
+    state: Mutex<SinkState>,
+}
+
+static SINK: LogSink = LogSink {
+    state: Mutex::new(SinkState {
+        buffer: Vec::new(),
+        second: 0,
+        lines: 0,
+        dropped: 0,
+    }),
+};
+
+/// Sends log lines to standard output; later calls change nothing.
+pub fn open_log(level: LevelFilter) {
+    if log::set_logger(&SINK).is_ok() {
+        log::set_max_level(level);
+    }
+}
+
+/// Writes what standard output takes without blocking.
+pub(crate) fn flush_log() {
+    SINK.flush();
+}
+
+impl Log for LogSink {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.target().starts_with("clementinepond")
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let since_epoch = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let Ok(mut state) = self.state.lock() else {
+            return;
+        };
+        if state.second != since_epoch.as_secs() {
+            state.second = since_epoch.as_secs();
+            state.lines = 0;
+        }
+        if state.lines >= LINES_PER_SECOND || state.buffer.len() > BUFFER_LIMIT_BYTES {
+            state.dropped += 1;
+            return;
+        }
+        state.lines += 1;
+        let mut line = String::with_capacity(200);
+        let level = match record.level() {
+            log::Level::Error => "error",
+            log::Level::Warn => "warn",
+            log::Level::Info => "info",
+            log::Level::Debug => "debug",
+            log::Level::Trace => "trace",
+        };
+        let seconds = since_epoch.as_secs();
+        let millis = since_epoch.subsec_millis();
+        // Writing to a string cannot fail.
+        if state.dropped > 0 {
+            let dropped = std::mem::take(&mut state.dropped);
+            let _ = writeln!(
+                line,
+                "time={seconds}.{millis:03} level=warn event=log_lines_dropped count={dropped}"
+            );
+        }
+        let _ = writeln!(
+            line,
+            "time={seconds}.{millis:03} level={level} {}",
+            record.args()
+        );
+        state.buffer.extend_from_slice(line.as_bytes());
+    }
+
+    fn flush(&self) {
+        let Ok(mut state) = self.state.lock() else {
+            return;
+        };
+        let output = rustix::stdio::stdout();
+        while !state.buffer.is_empty() {
+            let mut ready = [PollFd::new(&output, PollFlags::OUT)];
+            let now = Timespec {
+                tv_sec: 0,
+                tv_nsec: 0,
+            };
+            let is_writable = poll(&mut ready, Some(&now)).is_ok_and(|count| count > 0);
+            if !is_writable {
+                return;
+            }
+            let chunk = state.buffer.len().min(PIPE_CHUNK_BYTES);
+            match rustix::io::write(output, &state.buffer[..chunk]) {
+                Ok(written) => {
+                    state.buffer.drain(..written);
+                }
+                Err(_) => return,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/node/contact.rs
@@ -0,0 +1,193 @@
+//! News from and for the other VMs.
+
+use super::EntryNode;
+use crate::clock::BootClock;
+use crate::store::WatchTarget;
+use clementinepond_dispatch::ledger::EndpointKey;
+use clementinepond_dispatch::peer::{AccountNews, ModelDemand, PeerMessage, PeerNews};
+use clementinepond_types::{EndpointId, LocalTime, TimeSpan, VmId};
+use fnv::FnvHashMap;
+use std::net::SocketAddrV4;
+
+/// Time after a process's start within which it takes over peers' buckets.
+const ADOPTION_WINDOW: TimeSpan = TimeSpan::from_secs(3);
+/// Time for which peers hear of an endpoint that was set aside.
+const EJECTION_NEWS: TimeSpan = TimeSpan::from_millis(600);
+
+impl EntryNode {
+    pub(crate) fn learn_peer(&self, vm: &VmId, address: SocketAddrV4, now: LocalTime) {
+        if *vm == self.settings().vm {
+            return;
+        }
+        if self.state.borrow_mut().peers.learn(vm, address, now) {
+            log::info!("event=peer_learned peer={vm} address={address}");
+        }
+    }
+
+    /// Takes over a peer's regular news.
+    pub(crate) fn take_news(
+        &self,
+        from: &VmId,
+        address: SocketAddrV4,
+        news: Box<PeerNews>,
+        started_at: LocalTime,
+        now: LocalTime,
+    ) {
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
+        let loads = news.loads.clone();
+        let ejected = news.ejected.clone();
+        let Some(uses) = state.peers.note_news(from, address, news, now) else {
+            return;
+        };
+        state.loads.set_peer(from, loads);
+        let table = state.table.clone();
+        for one in uses {
+            if !one.is_first {
+                state.quotas.note_remote(&one.account, one.units, now);
+            } else if now.since(started_at) < ADOPTION_WINDOW
+                && let Some(policy) = table.as_ref().and_then(|table| table.account(&one.account))
+            {
+                state.quotas.adopt(policy, one.level, now);
+            }
+        }
+        if !ejected.is_empty() {
+            let ids: Vec<EndpointId> = state
+                .directory
+                .all()
+                .filter(|known| ejected.contains(&EndpointKey::of(known.entry.id.as_str())))
+                .map(|known| known.entry.id.clone())
+                .collect();
+            for id in ids {
+                state.health.eject(&id, now);
+            }
+        }
+        drop(guard);
+        self.peer_news.notify_waiters();
+    }
+
+    /// Writes this VM's regular news.
+    pub(crate) fn own_news(&self, number: u64, now: LocalTime) -> PeerNews {
+        let has_store = self.has_store(now);
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
+        state
+            .ejected_here
+            .retain(|_, at| now.since(*at) < EJECTION_NEWS);
+        let accounts = state
+            .quotas
+            .admitted()
+            .map(|(id, admitted, level)| AccountNews {
+                account: id.clone(),
+                admitted,
+                level,
+            });
+        PeerNews {
+            incarnation: self.incarnation,
+            number,
+            data_centre: self.settings().data_centre.clone(),
+            configuration: state
+                .table
+                .as_ref()
+                .map_or(0, |table| table.policy().version),
+            directory: state.endpoint_revision,
+            has_store,
+            duty: state.lease.as_ref().and_then(|lease| lease.held_fence(now)),
+            accounts: accounts.collect(),
+            loads: state.loads.news(),
+            demand: state.demand.news(now),
+            ejected: state.ejected_here.keys().copied().collect(),
+        }
+    }
+
+    /// Tells whether a heard peer knows more than this VM.
+    pub(crate) fn is_peer_ahead(&self, target: WatchTarget) -> bool {
+        let state = self.state.borrow();
+        let version = state
+            .table
+            .as_ref()
+            .map_or(0, |table| table.policy().version);
+        let revision = state.endpoint_revision;
+        state
+            .peers
+            .heard(BootClock::now())
+            .filter_map(|(_, peer)| peer.news.as_ref())
+            .any(|news| match target {
+                WatchTarget::Configuration => news.configuration > version,
+                WatchTarget::Endpoints => news.directory > revision,
+            })
+    }
+
+    /// Returns the peer that knows more than this VM, if there is one.
+    pub(crate) fn peer_with_more(&self, now: LocalTime) -> Option<SocketAddrV4> {
+        let state = self.state.borrow();
+        let version = state
+            .table
+            .as_ref()
+            .map_or(0, |table| table.policy().version);
+        let revision = state.endpoint_revision;
+        state
+            .peers
+            .heard(now)
+            .filter_map(|(_, peer)| Some((peer.address, peer.news.as_ref()?)))
+            .filter(|(_, news)| news.configuration > version || news.directory > revision)
+            .max_by_key(|(_, news)| (news.configuration, news.directory))
+            .map(|(address, _)| address)
+    }
+
+    /// Returns the demand of the whole fleet.
+    pub(crate) fn fleet_demand(&self, now: LocalTime) -> FnvHashMap<EndpointKey, ModelDemand> {
+        let mut state = self.state.borrow_mut();
+        let mut demand = state.peers.demand(now);
+        for (model, own) in state.demand.news(now) {
+            let total = demand.entry(model).or_default();
+            *total = total.plus(own);
+        }
+        demand
+    }
+
+    /// Sends a message to one address.
+    pub(crate) fn send_to(&self, message: PeerMessage, address: SocketAddrV4) {
+        let Some(socket) = self.socket.get() else {
+            return;
+        };
+        if let Some(bytes) = socket.encode(message) {
+            socket.send(&bytes, address);
+        }
+    }
+
+    /// Sends a message to every peer.
+    pub(crate) fn broadcast(&self, message: PeerMessage) {
+        let Some(socket) = self.socket.get() else {
+            return;
+        };
+        let Some(bytes) = socket.encode(message) else {
+            return;
+        };
+        let state = self.state.borrow();
+        for (_, peer) in state.peers.all() {
+            socket.send(&bytes, peer.address);
+        }
+    }
+
+    /// Sweeps peers and adjusts what depends on their number.
+    pub(crate) fn sweep_peers(&self, now: LocalTime) {
+        let mut state = self.state.borrow_mut();
+        for vm in state.peers.sweep(now) {
+            state.loads.forget_peer(&vm);
+            log::info!("event=peer_lost peer={vm}");
+        }
+        let silent: Vec<VmId> = state
+            .peers
+            .all()
+            .filter(|(_, peer)| now.since(peer.heard_at) > TimeSpan::from_secs(2))
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in silent {
+            // Its requests ended or it cannot be told apart from a stopped VM.
+            state.loads.forget_peer(&vm);
+        }
+        let (heard, known) = state.peers.contact(now);
+        state.quotas.set_contact(heard, known, now);
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -0,0 +1,156 @@
+//! The VM's state and its wake-up calls.
+
+use super::NodeStats;
+use super::placement::PlacementKnowledge;
+use crate::endpoint::ConnectionPool;
+use crate::peer::PeerSocket;
+use crate::settings::EntrySettings;
+use crate::store::WatchTarget;
+use clementinepond_dispatch::budget::RetryBudget;
+use clementinepond_dispatch::directory::EndpointDirectory;
+use clementinepond_dispatch::fleet::ServiceId;
+use clementinepond_dispatch::health::HealthTable;
+use clementinepond_dispatch::lease::DutyLease;
+use clementinepond_dispatch::ledger::{EndpointKey, LoadLedger};
+use clementinepond_dispatch::peer::PeerTable;
+use clementinepond_dispatch::place::{DemandMeter, PlacementPlanner};
+use clementinepond_dispatch::quota::QuotaLedger;
+use clementinepond_dispatch::select::PartMemory;
+use clementinepond_dispatch::suspect::CrashSuspects;
+use clementinepond_dispatch::table::RouteTable;
+use clementinepond_types::{EndpointId, LocalTime};
+use fnv::FnvHashMap;
+use serde_json::Value;
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// Time that this VM's own watch gets before a peer's news make it late.
+const WATCH_PATIENCE: Duration = Duration::from_millis(250);
+
+/// What the VM knows and counts.
+#[derive(Debug)]
+pub(crate) struct NodeState {
+    pub(crate) table: Option<Rc<RouteTable>>,
+    /// Configuration in force as the store holds it, for peers.
+    pub(crate) configuration_spec: Option<Rc<Value>>,
+    /// Revision of the store up to which the configuration is known.
+    pub(crate) configuration_revision: u64,
+    pub(crate) directory: EndpointDirectory,
+    /// Endpoints' entries as the store holds them, for peers.
+    pub(crate) endpoint_specs: BTreeMap<Box<str>, (u64, Value)>,
+    /// Revision of the newest change of an endpoint's entry.
+    pub(crate) endpoint_revision: u64,
+    pub(crate) health: HealthTable,
+    pub(crate) loads: LoadLedger,
+    pub(crate) parts: PartMemory,
+    pub(crate) demand: DemandMeter,
+    pub(crate) quotas: QuotaLedger,
+    pub(crate) budgets: FnvHashMap<ServiceId, RetryBudget>,
+    pub(crate) peers: PeerTable,
+    pub(crate) placement: PlacementKnowledge,
+    pub(crate) suspects: CrashSuspects,
+    /// Measured time to the first token over the predicted one.
+    pub(crate) paces: FnvHashMap<EndpointId, f64>,
+    /// Measured time of one request, in milliseconds.
+    pub(crate) work_ms: FnvHashMap<EndpointId, f64>,
+    pub(crate) store_answered_at: LocalTime,
+    /// State towards the lease of the placement duty.
+    pub(crate) lease: Option<DutyLease>,
+    /// Placement of each service while this VM holds the duty.
+    pub(crate) planners: FnvHashMap<ServiceId, PlacementPlanner>,
+    pub(crate) ejected_here: FnvHashMap<EndpointKey, LocalTime>,
+}
+
+/// One entry VM.
+#[derive(Debug)]
+pub(crate) struct EntryNode {
+    settings: RefCell<Rc<EntrySettings>>,
+    pub(crate) incarnation: u64,
+    pub(crate) state: RefCell<NodeState>,
+    pub(crate) pool: ConnectionPool,
+    pub(crate) stats: NodeStats,
+    pub(crate) is_stopping: Cell<bool>,
+    /// Wakes the watches when a peer knows more.
+    pub(crate) peer_news: Notify,
+    /// Wakes requests that wait for placement.
+    pub(crate) placement_changed: Notify,
+    /// Wakes the duty's task.
+    pub(crate) duty_due: Notify,
+    pub(crate) socket: OnceCell<Rc<PeerSocket>>,
+}
+
+impl EntryNode {
+    pub(crate) fn new(settings: EntrySettings, incarnation: u64) -> Self {
+        let state = NodeState {
+            table: None,
+            configuration_spec: None,
+            configuration_revision: 0,
+            directory: EndpointDirectory::default(),
+            endpoint_specs: BTreeMap::new(),
+            endpoint_revision: 0,
+            health: HealthTable::default(),
+            loads: LoadLedger::default(),
+            parts: PartMemory::default(),
+            demand: DemandMeter::default(),
+            quotas: QuotaLedger::new(),
+            budgets: FnvHashMap::default(),
+            peers: PeerTable::default(),
+            placement: PlacementKnowledge::default(),
+            suspects: CrashSuspects::default(),
+            paces: FnvHashMap::default(),
+            work_ms: FnvHashMap::default(),
+            store_answered_at: LocalTime::ORIGIN,
+            lease: None,
+            planners: FnvHashMap::default(),
+            ejected_here: FnvHashMap::default(),
+        };
+        Self {
+            settings: RefCell::new(Rc::new(settings)),
+            incarnation,
+            state: RefCell::new(state),
+            pool: ConnectionPool::default(),
+            stats: NodeStats::default(),
+            is_stopping: Cell::new(false),
+            peer_news: Notify::new(),
+            placement_changed: Notify::new(),
+            duty_due: Notify::new(),
+            socket: OnceCell::new(),
+        }
+    }
+
+    pub(crate) fn settings(&self) -> Rc<EntrySettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Takes over settings that were read again; addresses keep their first value.
+    pub(crate) fn replace_settings(&self, settings: EntrySettings) {
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
+    pub(crate) fn table(&self) -> Option<Rc<RouteTable>> {
+        self.state.borrow().table.clone()
+    }
+
+    /// Tells whether the VM can serve requests.
+    pub(crate) fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        !self.is_stopping.get() && state.table.is_some() && !state.directory.is_empty()
+    }
+
+    /// Returns once a peer has known more than this VM for a while.
+    pub(crate) async fn peer_ahead(&self, target: WatchTarget) {
+        loop {
+            self.peer_news.notified().await;
+            if !self.is_peer_ahead(target) {
+                continue;
+            }
+            tokio::time::sleep(WATCH_PATIENCE).await;
+            if self.is_peer_ahead(target) {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/node/pick.rs
@@ -0,0 +1,377 @@
+//! Picking of an endpoint for one request, and the account of its run.
+
+use super::EntryNode;
+use crate::clock::BootClock;
+use clementinepond_dispatch::directory::{KnownEndpoint, Presence};
+use clementinepond_dispatch::fleet::{
+    EnginePolicy, ModelTarget, RequestProfile, ServiceId, TokenDemand,
+};
+use clementinepond_dispatch::health::EndpointOutcome;
+use clementinepond_dispatch::ledger::{EndpointKey, LoadShare};
+use clementinepond_dispatch::peer::AdapterPlace;
+use clementinepond_dispatch::place::adapter_key;
+use clementinepond_dispatch::select::{
+    AdapterReadiness, EngineCandidate, EngineRequest, EngineVerdict, ServiceCandidate,
+    ServiceVerdict, choose_engine, choose_service_endpoint, rendezvous_weight,
+};
+use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
+use std::cell::Cell;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+/// Share of its shared parts that the owner of a session probably holds.
+const OWNER_CACHE_SHARE: f64 = 0.8;
+/// Weight of a new measurement in an endpoint's pace.
+const PACE_WEIGHT: f64 = 0.15;
+/// Bounds of an endpoint's pace.
+const PACE_RANGE: (f64, f64) = (0.4, 6.0);
+/// Weight of a new measurement in an endpoint's time a request.
+const WORK_WEIGHT: f64 = 0.1;
+/// Time of one request before any was measured, in milliseconds.
+const FIRST_WORK_MS: f64 = 60.0;
+
+/// Why a request is refused without having been sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RefusalCause {
+    /// The service has no endpoint.
+    NoEndpoint,
+    /// No endpoint holds the model.
+    NoCopy,
+    /// No endpoint can start it in time.
+    Crowded(TimeSpan),
+}
+
+/// Endpoint picked for one request.
+#[derive(Debug)]
+pub(crate) struct PickedEndpoint {
+    pub(crate) id: EndpointId,
+    pub(crate) address: SocketAddrV4,
+    /// Predicted time to the first token; zero for plain services.
+    pub(crate) predicted: TimeSpan,
+    /// Adapter that has to be loaded there first.
+    pub(crate) missing_adapter: Option<AdapterPlace>,
+    pub(crate) guard: RunGuard,
+}
+
+/// Account of one run; settled when dropped.
+#[derive(Debug)]
+pub(crate) struct RunGuard {
+    node: Rc<EntryNode>,
+    id: EndpointId,
+    key: EndpointKey,
+    share: LoadShare,
+    prefill_left: Cell<u32>,
+}
+
+impl RunGuard {
+    /// Notes the first token.
+    pub(crate) fn note_first_token(&self) {
+        let tokens = self.prefill_left.take();
+        let mut state = self.node.state.borrow_mut();
+        state.loads.finish_prefill(self.key, tokens);
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let mut state = self.node.state.borrow_mut();
+        let share = LoadShare {
+            prefill_tokens: self.prefill_left.get(),
+            ..self.share
+        };
+        state.loads.finish(self.key, share);
+        state.health.end_run(&self.id);
+    }
+}
+
+/// A request as the choice sees it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PickQuery<'a> {
+    pub(crate) service: &'a ServiceId,
+    pub(crate) profile: &'a RequestProfile,
+    pub(crate) deadline: LocalTime,
+    /// Endpoints that failed this request already.
+    pub(crate) tried: &'a [EndpointId],
+}
+
+impl EntryNode {
+    /// Picks an endpoint and counts the run there.
+    pub(crate) fn pick(
+        self: &Rc<Self>,
+        query: &PickQuery<'_>,
+        engine: Option<&EnginePolicy>,
+    ) -> Result<PickedEndpoint, RefusalCause> {
+        match (engine, &query.profile.target) {
+            (Some(engine), Some(target)) => self.pick_engine(query, engine, target),
+            _ => self.pick_service(query),
+        }
+    }
+
+    fn pick_engine(
+        self: &Rc<Self>,
+        query: &PickQuery<'_>,
+        engine: &EnginePolicy,
+        target: &ModelTarget,
+    ) -> Result<PickedEndpoint, RefusalCause> {
+        let now = BootClock::now();
+        let tokens = query.profile.tokens.unwrap_or_default();
+        let request = EngineRequest {
+            tokens,
+            slots: engine.slots,
+            kv_capacity: engine.kv_capacity,
+            time_left: now.until(query.deadline),
+        };
+        let home = self.settings().data_centre.clone();
+        let model_key = EndpointKey::of(target.model.as_str());
+        let weights = weights_key(target);
+        let guard = self.state.borrow();
+        let state = &*guard;
+        let holders: Vec<&KnownEndpoint> = state
+            .directory
+            .usable(query.service, now)
+            .filter(|known| known.entry.hosted(&target.model).is_some())
+            .filter(|known| !query.tried.contains(&known.entry.id))
+            .collect();
+        let open: Vec<&KnownEndpoint> = holders
+            .iter()
+            .copied()
+            .filter(|known| {
+                let key = EndpointKey::of(known.entry.id.as_str());
+                !state.placement.is_closing(key, model_key, now)
+            })
+            .collect();
+        let holders = if open.is_empty() { holders } else { open };
+        let owner = session_owner(query.profile, &holders);
+        let shared_tokens = shared_tokens(query.profile);
+        let candidates: Vec<EngineCandidate<'_>> = holders
+            .iter()
+            .enumerate()
+            .map(|(index, known)| {
+                let entry = &known.entry;
+                let key = EndpointKey::of(entry.id.as_str());
+                let seen = state
+                    .parts
+                    .cached_tokens(key, weights, &query.profile.parts);
+                let assumed = if owner == Some(index) {
+                    (shared_tokens as f64 * OWNER_CACHE_SHARE) as u64
+                } else {
+                    0
+                };
+                let adapter = match &target.adapter {
+                    Some(adapter) => {
+                        let place = AdapterPlace {
+                            endpoint: key,
+                            adapter: adapter_key(&target.model, adapter),
+                        };
+                        if state.placement.has_adapter(&place) {
+                            AdapterReadiness::Ready
+                        } else {
+                            AdapterReadiness::Missing
+                        }
+                    }
+                    None => AdapterReadiness::Ready,
+                };
+                EngineCandidate {
+                    endpoint: entry,
+                    load: state.loads.total(key),
+                    cached_tokens: seen.max(assumed),
+                    grade: state.health.grade(&entry.id, now),
+                    adapter,
+                    is_local: entry.data_centre == home,
+                    is_missing: known.presence != Presence::Listed,
+                    pace: state.paces.get(&entry.id).copied().unwrap_or(1.0),
+                }
+            })
+            .collect();
+        let (index, predicted) = match choose_engine(&candidates, &request) {
+            EngineVerdict::Send { index, first_token } => (index, first_token),
+            EngineVerdict::Refuse { retry_after } => {
+                return Err(RefusalCause::Crowded(retry_after));
+            }
+            EngineVerdict::NoCopy => return Err(RefusalCause::NoCopy),
+        };
+        let chosen = &candidates[index];
+        let prefill = tokens.prompt.saturating_sub(chosen.cached_tokens);
+        let missing_adapter = match (&target.adapter, chosen.adapter) {
+            (Some(adapter), AdapterReadiness::Missing) => Some(AdapterPlace {
+                endpoint: EndpointKey::of(chosen.endpoint.id.as_str()),
+                adapter: adapter_key(&target.model, adapter),
+            }),
+            _ => None,
+        };
+        let id = chosen.endpoint.id.clone();
+        let address = chosen.endpoint.address;
+        drop(guard);
+        let share = engine_share(tokens, query.profile, prefill);
+        let guard = self.start_run(&id, share);
+        Ok(PickedEndpoint {
+            id,
+            address,
+            predicted,
+            missing_adapter,
+            guard,
+        })
+    }
+
+    fn pick_service(
+        self: &Rc<Self>,
+        query: &PickQuery<'_>,
+    ) -> Result<PickedEndpoint, RefusalCause> {
+        let now = BootClock::now();
+        let home = self.settings().data_centre.clone();
+        let guard = self.state.borrow();
+        let state = &*guard;
+        let candidates: Vec<ServiceCandidate<'_>> = state
+            .directory
+            .usable(query.service, now)
+            .filter(|known| !query.tried.contains(&known.entry.id))
+            .map(|known| {
+                let entry = &known.entry;
+                let key = EndpointKey::of(entry.id.as_str());
+                ServiceCandidate {
+                    endpoint: entry,
+                    load: state.loads.total(key),
+                    grade: state.health.grade(&entry.id, now),
+                    is_local: entry.data_centre == home,
+                    is_missing: known.presence != Presence::Listed,
+                    work_ms: state
+                        .work_ms
+                        .get(&entry.id)
+                        .copied()
+                        .unwrap_or(FIRST_WORK_MS),
+                }
+            })
+            .collect();
+        let index = match choose_service_endpoint(&candidates, now.until(query.deadline)) {
+            ServiceVerdict::Send { index } => index,
+            ServiceVerdict::Refuse { retry_after } => {
+                return Err(RefusalCause::Crowded(retry_after));
+            }
+            ServiceVerdict::NoEndpoint => return Err(RefusalCause::NoEndpoint),
+        };
+        let id = candidates[index].endpoint.id.clone();
+        let address = candidates[index].endpoint.address;
+        drop(guard);
+        let share = LoadShare {
+            runs: 1,
+            ..LoadShare::default()
+        };
+        let guard = self.start_run(&id, share);
+        Ok(PickedEndpoint {
+            id,
+            address,
+            predicted: TimeSpan::ZERO,
+            missing_adapter: None,
+            guard,
+        })
+    }
+
+    fn start_run(self: &Rc<Self>, id: &EndpointId, share: LoadShare) -> RunGuard {
+        let key = EndpointKey::of(id.as_str());
+        let mut state = self.state.borrow_mut();
+        state.loads.start(key, share);
+        state.health.start_run(id);
+        RunGuard {
+            node: Rc::clone(self),
+            id: id.clone(),
+            key,
+            share,
+            prefill_left: Cell::new(share.prefill_tokens),
+        }
+    }
+
+    /// Notes how a request fared at an endpoint.
+    pub(crate) fn note_outcome(&self, id: &EndpointId, outcome: EndpointOutcome) {
+        let now = BootClock::now();
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
+        let Some(service) = state
+            .directory
+            .get(id)
+            .map(|known| known.entry.service.clone())
+        else {
+            return;
+        };
+        let peers: Vec<EndpointId> = state
+            .directory
+            .usable(&service, now)
+            .map(|known| known.entry.id.clone())
+            .collect();
+        if state.health.note(id, outcome, &peers, now) {
+            state.ejected_here.insert(EndpointKey::of(id.as_str()), now);
+            log::info!("event=endpoint_ejected endpoint={id} outcome={outcome:?}");
+        }
+    }
+
+    /// Compares a measured time to the first token with the predicted one.
+    pub(crate) fn note_pace(&self, id: &EndpointId, predicted: TimeSpan, measured: TimeSpan) {
+        let ratio = (measured.micros() as f64 + 3e3) / (predicted.micros() as f64 + 3e3);
+        let mut state = self.state.borrow_mut();
+        let pace = state.paces.entry(id.clone()).or_insert(1.0);
+        let target = (*pace * ratio).clamp(PACE_RANGE.0, PACE_RANGE.1);
+        *pace += (target - *pace) * PACE_WEIGHT;
+    }
+
+    /// Notes the time of one request of a plain service.
+    pub(crate) fn note_work(&self, id: &EndpointId, measured: TimeSpan) {
+        let millis = measured.micros() as f64 / 1e3;
+        let mut state = self.state.borrow_mut();
+        let work = state.work_ms.entry(id.clone()).or_insert(FIRST_WORK_MS);
+        *work += (millis - *work) * WORK_WEIGHT;
+    }
+
+    /// Notes that an engine has read a request's prompt.
+    pub(crate) fn note_read(
+        &self,
+        id: &EndpointId,
+        target: &ModelTarget,
+        profile: &RequestProfile,
+        capacity: u64,
+    ) {
+        let mut state = self.state.borrow_mut();
+        let endpoint = EndpointKey::of(id.as_str());
+        let now = BootClock::now();
+        state
+            .parts
+            .note_read(endpoint, weights_key(target), &profile.parts, capacity, now);
+    }
+}
+
+/// Returns the key under which caches hold a prompt's parts.
+fn weights_key(target: &ModelTarget) -> EndpointKey {
+    match &target.adapter {
+        Some(adapter) => adapter_key(&target.model, adapter),
+        None => EndpointKey::of(target.model.as_str()),
+    }
+}
+
+fn shared_tokens(profile: &RequestProfile) -> u64 {
+    let count = profile.parts.len().saturating_sub(1);
+    profile
+        .parts
+        .iter()
+        .take(count)
+        .map(|part| part.tokens)
+        .sum()
+}
+
+/// Returns the holder that owns the request's session, the same on every VM.
+fn session_owner(profile: &RequestProfile, holders: &[&KnownEndpoint]) -> Option<usize> {
+    let count = profile.parts.len();
+    let session = profile.parts.get(count.saturating_sub(2))?.id;
+    let weight = |known: &KnownEndpoint| rendezvous_weight(session, known.entry.id.as_str());
+    (0..holders.len()).max_by_key(|&index| weight(holders[index]))
+}
+
+fn engine_share(tokens: TokenDemand, profile: &RequestProfile, prefill: u64) -> LoadShare {
+    let output = profile
+        .output_hint
+        .unwrap_or(tokens.output)
+        .min(tokens.output);
+    let clip = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
+    LoadShare {
+        runs: 1,
+        prefill_tokens: clip(prefill),
+        context_tokens: clip(tokens.prompt + output),
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/node/placement.rs
@@ -0,0 +1,192 @@
+//! What the holder of the placement duty told this VM, and what it is asked.
+
+use super::EntryNode;
+use crate::clock::BootClock;
+use clementinepond_dispatch::fleet::ModelTarget;
+use clementinepond_dispatch::ledger::EndpointKey;
+use clementinepond_dispatch::peer::{AdapterPlace, PeerMessage, PlacementNews};
+use clementinepond_dispatch::place::adapter_key;
+use clementinepond_types::{AdapterId, EndpointId, LocalTime, ModelId, TimeSpan, VmId};
+use fnv::{FnvHashMap, FnvHashSet};
+
+/// Age of the holder's news up to which a copy counts as closing.
+const CLOSING_AGE: TimeSpan = TimeSpan::from_secs(3);
+
+/// Time between two words to the holder about an adapter in use.
+const USE_NEWS: TimeSpan = TimeSpan::from_millis(1_000);
+/// Time after which an unanswered wish for an adapter is sent again.
+const WISH_REPEAT: TimeSpan = TimeSpan::from_millis(60);
+
+/// Adapters and closing copies, as the holder sees them.
+#[derive(Debug, Default)]
+pub(crate) struct PlacementKnowledge {
+    fence: u64,
+    number: u64,
+    adapters: FnvHashSet<AdapterPlace>,
+    closing: FnvHashSet<(EndpointKey, EndpointKey)>,
+    heard_at: LocalTime,
+    /// Moment of the last word to the holder about each adapter in use.
+    pub(crate) told: FnvHashMap<AdapterPlace, LocalTime>,
+}
+
+impl PlacementKnowledge {
+    /// Takes over news; false when they are out of date.
+    pub(crate) fn take(&mut self, news: PlacementNews, now: LocalTime) -> bool {
+        if (news.fence, news.number) < (self.fence, self.number) {
+            return false;
+        }
+        self.fence = news.fence;
+        self.number = news.number;
+        self.adapters = news.adapters.into_iter().collect();
+        self.closing = news.closing.into_iter().collect();
+        self.heard_at = now;
+        true
+    }
+
+    pub(crate) fn note_ready(&mut self, place: AdapterPlace) {
+        self.adapters.insert(place);
+    }
+
+    pub(crate) fn note_missing(&mut self, place: &AdapterPlace) {
+        self.adapters.remove(place);
+    }
+
+    pub(crate) fn has_adapter(&self, place: &AdapterPlace) -> bool {
+        self.adapters.contains(place)
+    }
+
+    pub(crate) fn is_closing(
+        &self,
+        endpoint: EndpointKey,
+        model: EndpointKey,
+        now: LocalTime,
+    ) -> bool {
+        now.since(self.heard_at) < CLOSING_AGE && self.closing.contains(&(endpoint, model))
+    }
+}
+
+impl EntryNode {
+    pub(crate) fn take_placement(&self, news: PlacementNews, now: LocalTime) {
+        if self.state.borrow_mut().placement.take(news, now) {
+            self.placement_changed.notify_waiters();
+        }
+    }
+
+    pub(crate) fn take_adapter_ready(&self, place: AdapterPlace) {
+        self.state.borrow_mut().placement.note_ready(place);
+        self.placement_changed.notify_waiters();
+    }
+
+    /// Takes a VM's wish for an adapter, if this VM holds the duty.
+    pub(crate) fn take_adapter_wanted(
+        &self,
+        from: &VmId,
+        endpoint: &EndpointId,
+        model: &ModelId,
+        adapter: &AdapterId,
+        now: LocalTime,
+    ) {
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
+        let holds = state
+            .lease
+            .as_ref()
+            .is_some_and(|lease| lease.fence(now).is_some());
+        let service = state
+            .directory
+            .get(endpoint)
+            .map(|known| &known.entry.service);
+        let Some(planner) = service
+            .filter(|_| holds)
+            .and_then(|service| state.planners.get_mut(service))
+        else {
+            return;
+        };
+        planner.want_adapter(from, endpoint, model, adapter, now);
+        self.duty_due.notify_one();
+    }
+
+    /// Returns the place of a request's adapter at an endpoint.
+    pub(crate) fn adapter_place(
+        &self,
+        endpoint: &EndpointId,
+        target: Option<&ModelTarget>,
+    ) -> Option<AdapterPlace> {
+        let target = target?;
+        let adapter = target.adapter.as_ref()?;
+        Some(AdapterPlace {
+            endpoint: EndpointKey::of(endpoint.as_str()),
+            adapter: adapter_key(&target.model, adapter),
+        })
+    }
+
+    /// Waits until an endpoint holds the adapter of a request.
+    pub(crate) async fn await_adapter(
+        &self,
+        endpoint: &EndpointId,
+        target: &ModelTarget,
+        limit: TimeSpan,
+    ) -> bool {
+        let Some(place) = self.adapter_place(endpoint, Some(target)) else {
+            return true;
+        };
+        let until = BootClock::now() + limit;
+        loop {
+            let mut changed = std::pin::pin!(self.placement_changed.notified());
+            changed.as_mut().enable();
+            if self.state.borrow().placement.has_adapter(&place) {
+                return true;
+            }
+            if BootClock::now() >= until {
+                return false;
+            }
+            self.tell_holder(endpoint, target);
+            // A wish, or its answer, may be lost.
+            let _ = tokio::time::timeout(WISH_REPEAT.duration(), changed).await;
+        }
+    }
+
+    /// Tells the holder that an adapter is in use, so that it stays.
+    pub(crate) fn note_adapter_use(&self, endpoint: &EndpointId, target: &ModelTarget) {
+        let Some(place) = self.adapter_place(endpoint, Some(target)) else {
+            return;
+        };
+        let now = BootClock::now();
+        let is_due = {
+            let mut state = self.state.borrow_mut();
+            let told = state.placement.told.insert(place.clone(), now);
+            let is_due = told.is_none_or(|at| now.since(at) >= USE_NEWS);
+            if let (false, Some(at)) = (is_due, told) {
+                state.placement.told.insert(place, at);
+            }
+            is_due
+        };
+        if is_due {
+            self.tell_holder(endpoint, target);
+        }
+    }
+
+    fn tell_holder(&self, endpoint: &EndpointId, target: &ModelTarget) {
+        let Some(adapter) = &target.adapter else {
+            return;
+        };
+        let now = BootClock::now();
+        let me = self.settings().vm.clone();
+        self.take_adapter_wanted(&me, endpoint, &target.model, adapter, now);
+        let holder = {
+            let state = self.state.borrow();
+            state
+                .peers
+                .duty_holder(now)
+                .and_then(|(vm, _)| state.peers.address(vm))
+        };
+        if let Some(address) = holder {
+            let message = PeerMessage::AdapterWanted {
+                endpoint: endpoint.clone(),
+                model: target.model.clone(),
+                adapter: adapter.clone(),
+            };
+            self.send_to(message, address);
+        }
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/node/stats.rs
@@ -0,0 +1,40 @@
+//! Counters of one VM.
+
+use std::cell::Cell;
+
+/// Upper bounds of the latency histogram's buckets, in milliseconds.
+pub(crate) const LATENCY_BOUNDS_MS: [u64; 10] =
+    [10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000];
+
+/// Counters since the start of the process.
+#[derive(Debug, Default)]
+pub(crate) struct NodeStats {
+    pub(crate) answered: Cell<u64>,
+    pub(crate) failed: Cell<u64>,
+    pub(crate) refused: Cell<u64>,
+    pub(crate) repeats: Cell<u64>,
+    pub(crate) caller_left: Cell<u64>,
+    pub(crate) store_calls: Cell<u64>,
+    pub(crate) orders: Cell<u64>,
+    pub(crate) first_byte: LatencyHistogram,
+}
+
+/// Latency histogram with fixed buckets.
+#[derive(Debug, Default)]
+pub(crate) struct LatencyHistogram {
+    pub(crate) buckets: [Cell<u64>; LATENCY_BOUNDS_MS.len() + 1],
+    pub(crate) sum_ms: Cell<u64>,
+}
+
+impl LatencyHistogram {
+    pub(crate) fn record(&self, millis: u64) {
+        let index = LATENCY_BOUNDS_MS.partition_point(|bound| *bound < millis);
+        increment(&self.buckets[index]);
+        self.sum_ms.set(self.sum_ms.get() + millis);
+    }
+}
+
+/// Adds one.
+pub(crate) fn increment(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/peer/socket.rs
@@ -0,0 +1,141 @@
+//! Datagrams between VMs.
+
+use crate::clock::BootClock;
+use crate::node::EntryNode;
+use clementinepond_dispatch::peer::{PeerEnvelope, PeerMessage};
+use clementinepond_types::{LocalTime, TimeSpan, VmId};
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+use tokio_util::sync::CancellationToken;
+
+/// Largest datagram.
+const DATAGRAM_LIMIT_BYTES: usize = 60_000;
+/// Peers up to which news are sent at the set interval; beyond, the interval
+/// grows with the fleet so that a VM's datagrams a second stay bounded.
+const SMALL_FLEET: u64 = 12;
+
+/// Socket for messages to peers.
+#[derive(Debug)]
+pub(crate) struct PeerSocket {
+    socket: UdpSocket,
+    me: VmId,
+}
+
+impl PeerSocket {
+    pub(crate) async fn bind(address: SocketAddrV4, me: VmId) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind(address).await?;
+        Ok(Self { socket, me })
+    }
+
+    /// Writes a message as a datagram.
+    pub(crate) fn encode(&self, message: PeerMessage) -> Option<Vec<u8>> {
+        let envelope = PeerEnvelope {
+            from: self.me.clone(),
+            message,
+        };
+        match postcard::to_allocvec(&envelope) {
+            Ok(bytes) if bytes.len() <= DATAGRAM_LIMIT_BYTES => Some(bytes),
+            Ok(bytes) => {
+                log::error!("event=message_too_large bytes={}", bytes.len());
+                None
+            }
+            Err(error) => {
+                log::error!("event=message_unwritable error=\"{error}\"");
+                None
+            }
+        }
+    }
+
+    /// Sends a datagram; a lost one is replaced by the next news.
+    pub(crate) fn send(&self, bytes: &[u8], to: SocketAddrV4) {
+        if let Err(error) = self.socket.try_send_to(bytes, to.into()) {
+            log::debug!("event=message_dropped to={to} error=\"{error}\"");
+        }
+    }
+}
+
+/// Takes messages until the VM ends.
+pub(crate) async fn run_receiver(
+    node: Rc<EntryNode>,
+    socket: Rc<PeerSocket>,
+    stop: CancellationToken,
+) {
+    let started_at = BootClock::now();
+    let mut buffer = vec![0; DATAGRAM_LIMIT_BYTES];
+    loop {
+        let received = tokio::select! {
+            () = stop.cancelled() => return,
+            received = socket.socket.recv_from(&mut buffer) => received,
+        };
+        let (length, from) = match received {
+            Ok((length, SocketAddr::V4(from))) => (length, from),
+            Ok(_) => continue,
+            Err(error) => {
+                log::debug!("event=message_unread error=\"{error}\"");
+                continue;
+            }
+        };
+        match postcard::from_bytes::<PeerEnvelope>(&buffer[..length]) {
+            Ok(envelope) => take(&node, &socket, envelope, from, started_at),
+            Err(error) => log::warn!("event=message_malformed from={from} error=\"{error}\""),
+        }
+    }
+}
+
+fn take(
+    node: &Rc<EntryNode>,
+    socket: &PeerSocket,
+    envelope: PeerEnvelope,
+    address: SocketAddrV4,
+    started_at: LocalTime,
+) {
+    let from = envelope.from;
+    if from == socket.me {
+        return;
+    }
+    let now = BootClock::now();
+    match envelope.message {
+        PeerMessage::News(news) => node.take_news(&from, address, news, started_at, now),
+        PeerMessage::Placement(news) => node.take_placement(*news, now),
+        PeerMessage::AdapterReady(place) => node.take_adapter_ready(place),
+        PeerMessage::AdapterWanted {
+            endpoint,
+            model,
+            adapter,
+        } => node.take_adapter_wanted(&from, &endpoint, &model, &adapter, now),
+        PeerMessage::Crash { fingerprint } => {
+            node.state
+                .borrow_mut()
+                .suspects
+                .note_crash(fingerprint, now);
+        }
+    }
+}
+
+/// Sends regular news until the VM ends.
+pub(crate) async fn run_news(node: Rc<EntryNode>, socket: Rc<PeerSocket>, stop: CancellationToken) {
+    let mut number = 0;
+    loop {
+        let peers: Vec<SocketAddrV4> = {
+            let state = node.state.borrow();
+            state.peers.all().map(|(_, peer)| peer.address).collect()
+        };
+        let base = node.settings().peers.interval_ms as u64;
+        let fleet = (peers.len() as u64 + 1).max(SMALL_FLEET);
+        let interval = TimeSpan::from_millis(base * fleet / SMALL_FLEET);
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = tokio::time::sleep(interval.duration()) => {}
+        }
+        let now = BootClock::now();
+        node.sweep_peers(now);
+        number += 1;
+        let news = node.own_news(number, now);
+        if let Some(bytes) = socket.encode(PeerMessage::News(Box::new(news))) {
+            for peer in peers {
+                socket.send(&bytes, peer);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/run.rs
@@ -0,0 +1,186 @@
+//! Start, signals and planned stop of an entry VM.
+
+use crate::caller::{StopStages, serve_callers, serve_metrics, serve_readiness};
+use crate::clock::BootClock;
+use crate::duty::{release_lease, run_lease, run_orders};
+use crate::log_sink::flush_log;
+use crate::node::EntryNode;
+use crate::peer::{PeerSocket, follow_peers, run_news, run_receiver, serve_snapshots};
+use crate::settings::{EntrySettings, SettingsError};
+use crate::store::{WatchTarget, announce_vm, run_watch};
+use clementinepond_types::TimeSpan;
+use derive_more::{Display, Error, From};
+use rand::RngExt;
+use std::net::SocketAddrV4;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Connections that may wait to be accepted.
+const ACCEPT_QUEUE: u32 = 1_024;
+/// Time from the signal to stop until idle connections are closed; the
+/// balancer asks every second and takes a VM out after two misses.
+const NOTICE_TIME: TimeSpan = TimeSpan::from_millis(2_600);
+/// Time that is left between the last request's end and the kill.
+const EXIT_MARGIN: TimeSpan = TimeSpan::from_millis(300);
+/// Time between two sweeps of endpoints, connections and log lines.
+const SWEEP_INTERVAL: TimeSpan = TimeSpan::from_millis(100);
+
+/// Reason for which an entry VM cannot run.
+#[derive(Debug, Display, Error, From)]
+pub enum EntryError {
+    /// The settings are wrong.
+    #[display("{_0}")]
+    Settings(SettingsError),
+    /// An address cannot be listened on, or the runtime cannot start.
+    #[display("{_0}; check that the addresses are this VM's and free")]
+    System(std::io::Error),
+}
+
+/// Runs an entry VM until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when the settings are wrong or an address is not free.
+pub fn run_entry(path: &Path) -> Result<(), EntryError> {
+    let settings = EntrySettings::read_file(path)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let tasks = LocalSet::new();
+    let served = runtime.block_on(tasks.run_until(serve(settings, path.to_owned())));
+    flush_log();
+    // Tasks that still run end with the process.
+    runtime.shutdown_background();
+    Ok(served?)
+}
+
+async fn serve(settings: EntrySettings, path: PathBuf) -> std::io::Result<()> {
+    let incarnation = rand::rng().random();
+    let listen = settings.listen.clone();
+    log::info!(
+        "event=vm_started vm={} data_centre={} callers={} incarnation={incarnation:016x}",
+        settings.vm,
+        settings.data_centre,
+        listen.callers
+    );
+    let callers = bind(listen.callers)?;
+    let readiness = bind(listen.readiness)?;
+    let snapshots = bind(listen.peers)?;
+    let metrics = bind(listen.metrics)?;
+    let socket = Rc::new(PeerSocket::bind(listen.peers, settings.vm.clone()).await?);
+    let node = Rc::new(EntryNode::new(settings, incarnation));
+    // The cell is empty: the node was just made.
+    let _ = node.socket.set(Rc::clone(&socket));
+
+    let duties = CancellationToken::new();
+    let stages = StopStages {
+        draining: CancellationToken::new(),
+        ended: CancellationToken::new(),
+    };
+    let ended = stages.ended.clone();
+    let tracker = TaskTracker::new();
+    spawn_background(&node, &socket, &duties, &ended);
+    tokio::task::spawn_local(serve_readiness(Rc::clone(&node), readiness, ended.clone()));
+    tokio::task::spawn_local(serve_metrics(Rc::clone(&node), metrics, ended.clone()));
+    tokio::task::spawn_local(serve_snapshots(Rc::clone(&node), snapshots, ended.clone()));
+    let callers = serve_callers(Rc::clone(&node), callers, stages.clone(), tracker.clone());
+    tokio::task::spawn_local(callers);
+
+    await_stop(&node, &path).await?;
+    stop(&node, duties, stages, tracker).await;
+    log::info!("event=vm_stopped");
+    Ok(())
+}
+
+fn spawn_background(
+    node: &Rc<EntryNode>,
+    socket: &Rc<PeerSocket>,
+    duties: &CancellationToken,
+    ended: &CancellationToken,
+) {
+    let node = || Rc::clone(node);
+    let watch = |target| run_watch(node(), target, ended.clone());
+    tokio::task::spawn_local(watch(WatchTarget::Configuration));
+    tokio::task::spawn_local(watch(WatchTarget::Endpoints));
+    tokio::task::spawn_local(announce_vm(node(), ended.clone()));
+    tokio::task::spawn_local(run_receiver(node(), Rc::clone(socket), ended.clone()));
+    tokio::task::spawn_local(run_news(node(), Rc::clone(socket), ended.clone()));
+    tokio::task::spawn_local(follow_peers(node(), ended.clone()));
+    tokio::task::spawn_local(run_lease(node(), duties.clone()));
+    tokio::task::spawn_local(run_orders(node(), duties.clone()));
+    tokio::task::spawn_local(sweep(node(), ended.clone()));
+}
+
+async fn sweep(node: Rc<EntryNode>, stop: CancellationToken) {
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = tokio::time::sleep(SWEEP_INTERVAL.duration()) => {}
+        }
+        node.sweep_endpoints(BootClock::now());
+        node.pool.sweep();
+        flush_log();
+    }
+}
+
+/// Waits for the signal to stop; reads the settings again on the hang-up signal.
+async fn await_stop(node: &Rc<EntryNode>, path: &Path) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hang_up.recv() => reload(node, path),
+        }
+    }
+    log::info!("event=stop_requested");
+    Ok(())
+}
+
+fn reload(node: &Rc<EntryNode>, path: &Path) {
+    match EntrySettings::read_file(path) {
+        Ok(settings) => {
+            node.replace_settings(settings);
+            log::info!("event=settings_reloaded");
+        }
+        Err(error) => log::error!("event=settings_refused error=\"{error}\""),
+    }
+}
+
+/// Stops in the order in which nobody loses anything.
+async fn stop(
+    node: &Rc<EntryNode>,
+    duties: CancellationToken,
+    stages: StopStages,
+    tracker: TaskTracker,
+) {
+    let kill_at = BootClock::now() + node.settings().shutdown.grace();
+    node.is_stopping.set(true);
+    duties.cancel();
+    release_lease(node).await;
+    tokio::time::sleep(NOTICE_TIME.duration()).await;
+    stages.draining.cancel();
+    tracker.close();
+    let left = BootClock::now().until(kill_at).saturating_sub(EXIT_MARGIN);
+    if tokio::time::timeout(left.duration(), tracker.wait())
+        .await
+        .is_err()
+    {
+        log::warn!("event=stop_incomplete connections={}", tracker.len());
+    }
+    stages.ended.cancel();
+}
+
+fn bind(address: SocketAddrV4) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address.into())?;
+    socket.listen(ACCEPT_QUEUE)
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/store/client.rs
@@ -0,0 +1,173 @@
+//! Calls of the store.
+
+use crate::http::{CallFailure, HttpLine};
+use clementinepond_platform::{
+    StoreObject, StorePage, list_path, object_body, object_path, read_object, read_page,
+    read_watch, watch_path,
+};
+use clementinepond_types::TimeSpan;
+use derive_more::{Display, Error};
+use hyper::header::HeaderMap;
+use hyper::{Method, StatusCode};
+use serde_json::Value;
+use std::net::SocketAddrV4;
+
+/// Longest time for an answer; the store answers in milliseconds, and in a
+/// quarter of a second while it is slow.
+const CALL_LIMIT: TimeSpan = TimeSpan::from_millis(900);
+/// Time that a watch may take beyond its wait.
+const WATCH_SLACK: TimeSpan = TimeSpan::from_millis(700);
+
+/// Why a call gave nothing of use.
+#[derive(Debug, Display, Error, Clone, PartialEq, Eq)]
+pub(crate) enum StoreFailure {
+    #[display("store: {_0}")]
+    Call(CallFailure),
+    #[display("store answered {_0}; nothing was done")]
+    Refused(#[error(not(source))] StatusCode),
+    #[display("history is gone; list again")]
+    Gone,
+    #[display("answer cannot be read")]
+    Malformed,
+}
+
+/// What became of an update.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum WriteOutcome {
+    /// It took effect.
+    Written(StoreObject),
+    /// The object has another revision, or is missing.
+    Conflict(Option<StoreObject>),
+    /// Nothing was done.
+    Refused(StatusCode),
+    /// It may have taken effect, or may do so later.
+    Unknown(CallFailure),
+}
+
+/// A line to the store, for one call at a time.
+#[derive(Debug)]
+pub(crate) struct StoreClient {
+    line: HttpLine,
+}
+
+impl StoreClient {
+    pub(crate) const fn new(address: SocketAddrV4) -> Self {
+        Self {
+            line: HttpLine::new(address),
+        }
+    }
+
+    pub(crate) fn reset(&mut self) {
+        self.line.reset();
+    }
+
+    /// Lists all objects of a kind.
+    pub(crate) async fn list(
+        &mut self,
+        kind: &str,
+        may_be_stale: bool,
+    ) -> Result<StorePage, StoreFailure> {
+        let mut objects: Vec<StoreObject> = Vec::new();
+        loop {
+            let after = objects.last().map(|object| object.name.clone());
+            let path = list_path(kind, after.as_deref(), may_be_stale);
+            let body = self.get(&path, CALL_LIMIT).await?;
+            let (page, unread) = read_page(&body).map_err(|_| StoreFailure::Malformed)?;
+            note_unread(kind, unread);
+            let is_empty = page.objects.is_empty();
+            objects.extend(page.objects);
+            if !page.has_more || is_empty {
+                return Ok(StorePage {
+                    objects,
+                    has_more: false,
+                    revision: page.revision,
+                });
+            }
+        }
+    }
+
+    /// Waits for changes of a kind after a revision.
+    pub(crate) async fn watch(
+        &mut self,
+        kind: &str,
+        from: u64,
+        wait: TimeSpan,
+    ) -> Result<StorePage, StoreFailure> {
+        let path = watch_path(kind, from, wait.millis());
+        let body = self.get(&path, wait + WATCH_SLACK).await?;
+        let (page, unread) = read_watch(&body).map_err(|_| StoreFailure::Malformed)?;
+        note_unread(kind, unread);
+        Ok(page)
+    }
+
+    /// Reads one object.
+    pub(crate) async fn read(
+        &mut self,
+        kind: &str,
+        name: &str,
+    ) -> Result<Option<StoreObject>, StoreFailure> {
+        match self.get(&object_path(kind, name), CALL_LIMIT).await {
+            Ok(body) => read_object(&body)
+                .map(Some)
+                .map_err(|_| StoreFailure::Malformed),
+            Err(StoreFailure::Refused(StatusCode::NOT_FOUND)) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Creates an object, or replaces it if it has the revision.
+    pub(crate) async fn write(
+        &mut self,
+        kind: &str,
+        name: &str,
+        revision: Option<u64>,
+        spec: &Value,
+    ) -> WriteOutcome {
+        let body = object_body(name, revision, spec);
+        let (method, path) = match revision {
+            None => (Method::POST, list_path(kind, None, false)),
+            Some(_) => (Method::PUT, object_path(kind, name)),
+        };
+        let reply = self
+            .line
+            .call(method, &path, HeaderMap::new(), body, CALL_LIMIT)
+            .await;
+        match reply {
+            Ok(reply) if reply.status.is_success() => match read_object(&reply.body) {
+                Ok(object) => WriteOutcome::Written(object),
+                Err(_) => WriteOutcome::Unknown(CallFailure::Broken),
+            },
+            Ok(reply) if reply.status == StatusCode::CONFLICT => {
+                WriteOutcome::Conflict(read_object(&reply.body).ok())
+            }
+            Ok(reply) if reply.status == StatusCode::NOT_FOUND => WriteOutcome::Conflict(None),
+            Ok(reply) => WriteOutcome::Refused(reply.status),
+            Err(failure) => {
+                self.line.reset();
+                WriteOutcome::Unknown(failure)
+            }
+        }
+    }
+
+    async fn get(&mut self, path: &str, limit: TimeSpan) -> Result<bytes::Bytes, StoreFailure> {
+        let reply = self
+            .line
+            .call(Method::GET, path, HeaderMap::new(), Vec::new(), limit)
+            .await;
+        match reply {
+            Ok(reply) if reply.status == StatusCode::OK => Ok(reply.body),
+            Ok(reply) if reply.status == StatusCode::GONE => Err(StoreFailure::Gone),
+            Ok(reply) => Err(StoreFailure::Refused(reply.status)),
+            Err(failure) => {
+                self.line.reset();
+                Err(StoreFailure::Call(failure))
+            }
+        }
+    }
+}
+
+fn note_unread(kind: &str, unread: usize) {
+    if unread > 0 {
+        log::warn!("event=object_malformed kind={kind} count={unread} action=ignored");
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/store/mod.rs
@@ -0,0 +1,9 @@
+//! The platform's store: calls, watches and what this VM keeps there.
+
+mod client;
+mod presence;
+mod watch;
+
+pub(crate) use client::{StoreClient, StoreFailure, WriteOutcome};
+pub(crate) use presence::announce_vm;
+pub(crate) use watch::{WatchTarget, run_watch};
--- /dev/null
+++ b/crates/clementinepond_entry/src/store/presence.rs
@@ -0,0 +1,90 @@
+//! This VM's own entry, and the entries of the others.
+//!
+//! Entries do not expire by themselves. A VM refreshes its entry at each
+//! start; what VMs know of each other's life comes from their news.
+
+use super::{StoreClient, WriteOutcome};
+use crate::clock::BootClock;
+use crate::node::EntryNode;
+use clementinepond_platform::VM_KIND;
+use clementinepond_types::{TimeSpan, VmId};
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use tokio_util::sync::CancellationToken;
+
+/// Time between two listings of the VMs; peers spread what they know much faster.
+const LIST_INTERVAL: TimeSpan = TimeSpan::from_secs(8);
+/// Time between the first listings, while VMs start.
+const START_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
+/// Listings made at the shorter interval.
+const START_LISTINGS: u32 = 5;
+
+/// Entry of one VM.
+#[derive(Debug, Serialize, Deserialize)]
+struct VmEntry {
+    address: SocketAddrV4,
+}
+
+/// Writes this VM's entry and follows the others'.
+pub(crate) async fn announce_vm(node: Rc<EntryNode>, stop: CancellationToken) {
+    let mut client = StoreClient::new(node.settings().store.address);
+    let mut is_written = false;
+    let mut listings = 0;
+    loop {
+        if !is_written {
+            is_written = write_entry(&node, &mut client).await;
+        }
+        match client.list(VM_KIND, listings > START_LISTINGS).await {
+            Ok(page) => {
+                listings += 1;
+                for object in page.objects {
+                    learn(&node, &object.name, object.spec);
+                }
+            }
+            Err(error) => log::debug!("event=vm_list_failed error=\"{error}\""),
+        }
+        let interval = if listings <= START_LISTINGS && !(is_written && listings > 2) {
+            START_INTERVAL
+        } else {
+            LIST_INTERVAL
+        };
+        let jitter = rand::rng().random_range(80..120);
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = tokio::time::sleep(interval.fraction(jitter, 100).duration()) => {}
+        }
+    }
+}
+
+async fn write_entry(node: &EntryNode, client: &mut StoreClient) -> bool {
+    let settings = node.settings();
+    let entry = VmEntry {
+        address: settings.listen.peers,
+    };
+    let Ok(spec) = serde_json::to_value(&entry) else {
+        return false;
+    };
+    let name = settings.vm.as_str();
+    match client.write(VM_KIND, name, None, &spec).await {
+        WriteOutcome::Written(_) => true,
+        WriteOutcome::Conflict(Some(object)) => {
+            let revision = Some(object.revision);
+            let outcome = client.write(VM_KIND, name, revision, &spec).await;
+            matches!(outcome, WriteOutcome::Written(_))
+        }
+        outcome => {
+            log::debug!("event=vm_entry_failed outcome={outcome:?}");
+            false
+        }
+    }
+}
+
+fn learn(node: &EntryNode, name: &str, spec: serde_json::Value) {
+    let entry: Result<VmEntry, _> = serde_json::from_value(spec);
+    match (name.parse::<VmId>(), entry) {
+        (Ok(vm), Ok(entry)) => node.learn_peer(&vm, entry.address, BootClock::now()),
+        _ => log::warn!("event=object_malformed kind={VM_KIND} name={name} action=ignored"),
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_entry/src/store/watch.rs
@@ -0,0 +1,117 @@
+//! Lists and watches of one kind.
+//!
+//! A watch is short, so that a store which went silent is noticed; a peer
+//! that knows a newer revision interrupts it at once.
+
+use super::{StoreClient, StoreFailure};
+use crate::clock::BootClock;
+use crate::node::EntryNode;
+use clementinepond_platform::StorePage;
+use clementinepond_types::TimeSpan;
+use rand::RngExt;
+use std::rc::Rc;
+use tokio_util::sync::CancellationToken;
+
+/// Time that a watch waits; a store that went silent is noticed after it.
+const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(3_000);
+/// First pause after a failed call.
+const FIRST_PAUSE_MS: u64 = 80;
+/// Longest pause after failed calls; entries that lapsed are back two seconds
+/// after the store's return, so it must be noticed well before.
+const LONGEST_PAUSE_MS: u64 = 700;
+
+/// What is watched.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum WatchTarget {
+    /// The operator's configuration.
+    Configuration,
+    /// The endpoints' entries.
+    Endpoints,
+}
+
+impl WatchTarget {
+    const fn kind(self) -> &'static str {
+        match self {
+            Self::Configuration => clementinepond_platform::CONFIGURATION_KIND,
+            Self::Endpoints => clementinepond_platform::ENDPOINT_KIND,
+        }
+    }
+}
+
+/// Follows one kind until the VM stops.
+pub(crate) async fn run_watch(node: Rc<EntryNode>, target: WatchTarget, stop: CancellationToken) {
+    let mut client = StoreClient::new(node.settings().store.address);
+    let mut revision: Option<u64> = None;
+    let mut pause_ms = FIRST_PAUSE_MS;
+    let mut failing_since = None;
+    while !stop.is_cancelled() {
+        let called = async {
+            match revision {
+                None => client
+                    .list(target.kind(), false)
+                    .await
+                    .map(|page| (page, true)),
+                Some(from) => {
+                    let watch = client.watch(target.kind(), from, WATCH_WAIT);
+                    watch.await.map(|page| (page, false))
+                }
+            }
+        };
+        let outcome = tokio::select! {
+            () = stop.cancelled() => return,
+            () = node.peer_ahead(target) => {
+                client.reset();
+                continue;
+            }
+            outcome = called => outcome,
+        };
+        match outcome {
+            Ok((page, is_list)) => {
+                if failing_since.take().is_some() {
+                    node.note_store(true, target.kind());
+                }
+                pause_ms = FIRST_PAUSE_MS;
+                revision = Some(page.revision.max(revision.unwrap_or(0)));
+                take_page(&node, target, page, is_list);
+                node.note_store_answer(BootClock::now());
+            }
+            Err(StoreFailure::Gone) => {
+                log::info!("event=watch_expired kind={} action=list", target.kind());
+                revision = None;
+            }
+            Err(error) => {
+                if failing_since.is_none() {
+                    failing_since = Some(BootClock::now());
+                    node.note_store(false, target.kind());
+                    log::warn!("event=store_lost kind={} error=\"{error}\"", target.kind());
+                }
+                if matches!(error, StoreFailure::Malformed) {
+                    revision = None;
+                }
+                let jitter = rand::rng().random_range(50..100);
+                let pause = TimeSpan::from_millis(pause_ms * jitter / 100);
+                pause_ms = (pause_ms * 2).min(LONGEST_PAUSE_MS);
+                tokio::select! {
+                    () = stop.cancelled() => return,
+                    () = tokio::time::sleep(pause.duration()) => {}
+                }
+            }
+        }
+    }
+}
+
+fn take_page(node: &EntryNode, target: WatchTarget, page: StorePage, is_list: bool) {
+    match target {
+        WatchTarget::Configuration => {
+            for object in page.objects {
+                if &*object.name == clementinepond_platform::CONFIGURATION_NAME
+                    && !object.is_deleted
+                {
+                    node.offer_configuration(&object.spec, "store");
+                }
+            }
+            node.note_configuration_revision(page.revision);
+        }
+        WatchTarget::Endpoints => node.take_endpoints(page, is_list, "store"),
+    }
+}
