--- a/crates/clementinepond_dispatch/src/lease/mod.rs
+++ b/crates/clementinepond_dispatch/src/lease/mod.rs
@@ -85,6 +85,8 @@
         fence: u64,
         /// Moment of the first order.
         order_from: LocalTime,
+        /// Whether nobody else held the duty since this VM did.
+        is_resumed: bool,
     },
     /// This VM no longer holds the duty.
     Lost,
@@ -309,7 +311,8 @@
                 let holder = record.holder.filter(|holder| *holder != self.me);
                 holder.or(record.previous)
             });
-        let order_from = if previous.is_none() {
+        let is_resumed = previous.is_none();
+        let order_from = if is_resumed {
             now
         } else {
             now + self.order_gap + GAP_MARGIN
@@ -325,6 +328,7 @@
         vec![LeaseEffect::Acquired {
             fence: revision,
             order_from,
+            is_resumed,
         }]
     }
 
--- a/crates/clementinepond_dispatch/src/place/order_book.rs
+++ b/crates/clementinepond_dispatch/src/place/order_book.rs
@@ -4,6 +4,7 @@
 use crate::fleet::EndpointEntry;
 use clementinepond_types::{AdapterId, LocalTime, ModelId, TimeSpan};
 use fnv::FnvHashMap;
+use std::collections::BTreeSet;
 
 /// Time within which an endpoint may still carry out an order that it left
 /// unanswered.
@@ -38,8 +39,12 @@
 pub struct OrderBook {
     /// Start of the life, in Unix milliseconds.
     pub started_ms: u64,
-    /// Orders that the endpoint has accepted, once known.
+    /// Orders that the endpoint has accepted; unknown until its status is read.
     pub order_count: Option<u64>,
+    /// Orders that the endpoint has accepted at least.
+    count_floor: u64,
+    /// Models that the endpoint's last status named and that may still be there.
+    reported: BTreeSet<ModelId>,
     /// Order on its way, with the moment of sending.
     pub flight: Option<(EndpointOrder, LocalTime)>,
     /// Orders without an answer, and until when they may be carried out.
@@ -70,7 +75,8 @@
             };
         }
         self.doubtful.retain(|(_, until)| now < *until);
-        let is_done = |model: &ModelId| entry.hosted(model).is_some();
+        let reported = self.reported.clone();
+        let is_done = |model: &ModelId| entry.hosted(model).is_some() || reported.contains(model);
         if self
             .loading
             .as_ref()
@@ -91,7 +97,39 @@
             self.seen_since.entry(hosted.id.clone()).or_insert(now);
         }
         self.adapters
-            .retain(|(model, _), _| entry.hosted(model).is_some());
+            .retain(|(model, _), _| entry.hosted(model).is_some() || reported.contains(model));
+    }
+
+    /// Notes an endpoint's own account of its models and orders.
+    pub fn note_status(&mut self, models: BTreeSet<ModelId>, order_count: u64) {
+        self.reported = models;
+        self.count_floor = self.count_floor.max(order_count);
+        self.order_count = Some(self.count_floor);
+    }
+
+    /// Notes that the entry, which still lists a model being unloaded, will
+    /// show when it is gone.
+    pub fn trust_entry(&mut self, model: &ModelId) {
+        self.reported.remove(model);
+    }
+
+    /// Returns every model that the endpoint may hold or come to hold.
+    #[must_use]
+    pub fn possible(&self, entry: &EndpointEntry) -> BTreeSet<ModelId> {
+        let listed = entry.models.iter().map(|hosted| hosted.id.clone());
+        listed
+            .chain(self.reported.iter().cloned())
+            .chain(self.arriving().cloned())
+            .collect()
+    }
+
+    /// Tells whether only a fresh status can show what the endpoint holds.
+    #[must_use]
+    pub fn needs_status(&self, entry: &EndpointEntry) -> bool {
+        let is_unlisted = |(model, _): &(ModelId, LocalTime)| {
+            entry.hosted(model).is_none() && self.reported.contains(model)
+        };
+        self.order_count.is_none() || self.unloading.as_ref().is_some_and(is_unlisted)
     }
 
     /// Notes an order's answer.
@@ -99,14 +137,13 @@
         self.flight = None;
         match reply {
             OrderReply::Accepted => {
-                self.order_count = self.order_count.map(|count| count + 1);
+                self.advance();
                 self.accepted_at = now;
                 // The count moved on, so earlier copies fail their condition.
                 self.doubtful.clear();
                 self.note_accepted(order, now);
             }
             OrderReply::Holds => {
-                self.order_count = None;
                 self.accepted_at = now;
                 self.note_held(order, now);
             }
@@ -120,6 +157,11 @@
         }
     }
 
+    fn advance(&mut self) {
+        self.order_count = self.order_count.map(|count| count + 1);
+        self.count_floor = self.order_count.unwrap_or(self.count_floor);
+    }
+
     fn note_accepted(&mut self, order: &EndpointOrder, now: LocalTime) {
         match order {
             EndpointOrder::LoadModel(model) => self.loading = Some((model.clone(), now)),
@@ -153,11 +195,17 @@
                     ready_at: now,
                 };
                 self.adapters.insert((model.clone(), adapter.clone()), held);
+                self.order_count = None;
             }
             EndpointOrder::UnloadAdapter(model, adapter) => {
+                // An idle adapter is dropped at once, which counts as an order.
                 self.adapters.remove(&(model.clone(), adapter.clone()));
+                self.advance();
+                self.doubtful.clear();
+            }
+            EndpointOrder::LoadModel(_) | EndpointOrder::UnloadModel(_) => {
+                self.order_count = None;
             }
-            EndpointOrder::LoadModel(_) | EndpointOrder::UnloadModel(_) => {}
         }
     }
 
--- a/crates/clementinepond_dispatch/src/place/planner.rs
+++ b/crates/clementinepond_dispatch/src/place/planner.rs
@@ -11,7 +11,7 @@
 use crate::peer::{AdapterPlace, ModelDemand, PlacementNews};
 use clementinepond_types::{AdapterId, EndpointId, LocalTime, ModelId, TimeSpan, VmId};
 use fnv::FnvHashMap;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
 /// Time between the announcement that a copy closes and its unload; covers
@@ -24,7 +24,7 @@
 /// Time between two readings of an endpoint's status.
 const STATUS_INTERVAL: TimeSpan = TimeSpan::from_millis(200);
 /// Age of an accepted order up to which a status may not show it yet.
-const STATUS_LAG: TimeSpan = TimeSpan::from_millis(700);
+const STATUS_LAG: TimeSpan = TimeSpan::from_millis(500);
 /// Time from an accepted adapter load to its use; the adapters' usual load time.
 const ADAPTER_LOAD: TimeSpan = TimeSpan::from_millis(14);
 /// Time for which an adapter in use is not displaced.
@@ -105,21 +105,39 @@
 #[derive(Debug, Default)]
 pub struct PlacementPlanner {
     books: BTreeMap<EndpointId, OrderBook>,
+    /// Models that the endpoints' entries listed at the last step.
+    listed: BTreeSet<(EndpointId, ModelId)>,
     status_asked: FnvHashMap<EndpointId, LocalTime>,
     moves: BTreeMap<EndpointId, MoveTask>,
     waits: Vec<AdapterWait>,
     store_credit: f64,
     credited_at: LocalTime,
     next_search: LocalTime,
+    /// Moment before which a status may not show the last holder's orders.
+    quiet_until: LocalTime,
 }
 
 impl PlacementPlanner {
-    /// Starts over as the holder; what earlier holders did is read again.
-    pub fn reset(&mut self, now: LocalTime) {
-        *self = Self {
+    /// Makes the state of a VM that has just become the holder.
+    #[must_use]
+    pub fn new(now: LocalTime) -> Self {
+        Self {
             credited_at: now,
+            quiet_until: now + STATUS_LAG,
             ..Self::default()
-        };
+        }
+    }
+
+    /// Starts over as the holder; what earlier holders did is read again.
+    pub fn reset(&mut self, now: LocalTime) {
+        *self = Self::new(now);
+    }
+
+    /// Goes on as the holder after a lapse in which nobody else held the duty.
+    pub fn resume(&mut self) {
+        for book in self.books.values_mut() {
+            book.order_count = None;
+        }
     }
 
     /// Notes that a request at a VM needs an adapter, or has used it.
@@ -164,6 +182,11 @@
     ) {
         if let Some(book) = self.books.get_mut(endpoint) {
             book.note_reply(order, reply, now);
+            if let (EndpointOrder::UnloadModel(model), OrderReply::Accepted) = (order, reply)
+                && self.listed.contains(&(endpoint.clone(), model.clone()))
+            {
+                book.trust_entry(model);
+            }
             if let (EndpointOrder::LoadAdapter(model, adapter), OrderReply::Accepted) =
                 (order, reply)
                 && let Some(held) = book.adapters.get_mut(&(model.clone(), adapter.clone()))
@@ -184,17 +207,19 @@
         let Some(book) = self.books.get_mut(endpoint) else {
             return;
         };
-        if book.flight.is_some() {
+        if book.flight.is_some() || asked_at.since(book.accepted_at) <= STATUS_LAG {
             return;
         }
-        book.order_count = Some(status.order_count);
+        if status.is_busy && book.loading.is_none() && book.unloading.is_none() {
+            // An order of an earlier holder is under way; what it loads shows
+            // only when it is done.
+            return;
+        }
+        let models = status.models.iter().map(|hosted| hosted.id.clone());
+        book.note_status(models.collect(), status.order_count);
         if status.is_busy {
             book.pause_until = now + STATUS_INTERVAL;
         }
-        let is_settled = asked_at.since(book.accepted_at) > STATUS_LAG;
-        if !is_settled {
-            return;
-        }
         let mut adapters = FnvHashMap::default();
         for hosted in &status.models {
             for adapter in &hosted.adapters {
@@ -281,7 +306,11 @@
     fn note_endpoints(&mut self, input: &PlannerInput<'_>, now: LocalTime) {
         self.books
             .retain(|id, _| input.endpoints.iter().any(|(entry, _)| entry.id == *id));
+        self.listed.clear();
         for (entry, _) in &input.endpoints {
+            for hosted in &entry.models {
+                self.listed.insert((entry.id.clone(), hosted.id.clone()));
+            }
             let book = self.books.entry(entry.id.clone()).or_default();
             let is_new_life = book.started_ms != entry.started_ms;
             book.note_entry(entry, now);
@@ -307,7 +336,8 @@
             let Some(book) = self.books.get(&entry.id) else {
                 continue;
             };
-            if !is_usable || book.order_count.is_some() || book.flight.is_some() {
+            let is_early = now < self.quiet_until || now.since(book.accepted_at) <= STATUS_LAG;
+            if !is_usable || is_early || book.flight.is_some() || !book.needs_status(entry) {
                 continue;
             }
             let asked = self.status_asked.get(&entry.id);
@@ -384,7 +414,8 @@
             }
             _ => {}
         }
-        if !book.is_idle(now) || book.order_count.is_none() || book.loading.is_some() {
+        let is_busy = book.loading.is_some() || book.unloading.is_some();
+        if !book.is_idle(now) || book.order_count.is_none() || is_busy {
             return AdapterStep::Wait;
         }
         book.adapters
@@ -566,8 +597,9 @@
             .filter(|hosted| !is_closing(&hosted.id))
             .filter_map(|hosted| Some((index_of(&hosted.id)?, age(&hosted.id))))
             .collect();
-        let mut possible: Vec<usize> = models.iter().map(|(index, _)| *index).collect();
-        possible.extend(book.arriving().filter_map(index_of));
+        let held = book.possible(entry);
+        let staying = held.iter().filter(|id| !is_closing(id));
+        let mut possible: Vec<usize> = staying.filter_map(index_of).collect();
         possible.extend(task.and_then(|task| index_of(&task.load)));
         possible.sort_unstable();
         possible.dedup();
@@ -577,7 +609,7 @@
             is_moving: task.is_some()
                 || book.loading.is_some()
                 || book.unloading.is_some()
-                || book.order_count.is_none(),
+                || book.needs_status(entry),
             free_mb: free_mb(policy, entry, book),
             models,
             possible,
@@ -618,21 +650,14 @@
 /// Returns the memory that stays free whatever became of earlier orders.
 fn free_mb(policy: &EnginePolicy, entry: &EndpointEntry, book: &OrderBook) -> f64 {
     let size = |id: &ModelId| policy.model(id).map_or(0.0, |model| model.weights_mb);
-    let listed: f64 = entry.models.iter().map(|hosted| size(&hosted.id)).sum();
-    let mut arriving: Vec<&ModelId> = book
-        .arriving()
-        .filter(|id| entry.hosted(id).is_none())
-        .collect();
-    arriving.sort();
-    arriving.dedup();
-    let arriving: f64 = arriving.into_iter().map(size).sum();
+    let held: f64 = book.possible(entry).iter().map(size).sum();
     let largest_adapter = policy
         .models
         .iter()
         .map(|model| model.adapter_mb)
         .fold(0.0, f64::max);
     let adapters = f64::from(policy.adapter_slots) * largest_adapter;
-    policy.weights_mb - adapters - listed - arriving
+    policy.weights_mb - adapters - held
 }
 
 /// Returns the short name of an adapter of a model.
--- a/crates/clementinepond_entry/src/caller/connection.rs
+++ b/crates/clementinepond_entry/src/caller/connection.rs
@@ -38,7 +38,8 @@
 ) {
     loop {
         let accepted = tokio::select! {
-            () = stages.ended.cancelled() => return,
+            // Callers whose connections are refused go to another VM.
+            () = stages.draining.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
         match accepted {
--- a/crates/clementinepond_entry/src/caller/serve_request.rs
+++ b/crates/clementinepond_entry/src/caller/serve_request.rs
@@ -18,6 +18,16 @@
 /// Part of a prompt that counts as uncached when its shared parts are known.
 const UNCACHED_SHARE: f64 = 0.5;
 
+/// Part of a stop's grace within which streams are still begun; the longest
+/// of them end within the rest.
+const STREAM_START_PARTS: (u64, u64) = (1, 3);
+/// Time that nearly every answer that is no stream takes.
+const UNARY_TIME: TimeSpan = TimeSpan::from_millis(1_500);
+/// Time left between the last answer and the end of a stopping process.
+const EXIT_MARGIN: TimeSpan = TimeSpan::from_millis(400);
+/// Time after which a caller may come back to another VM.
+const STOPPING_RETRY: TimeSpan = TimeSpan::from_millis(20);
+
 /// Answers one request.
 pub(crate) async fn serve_request(
     node: Rc<EntryNode>,
@@ -43,7 +53,7 @@
         Ok(response) => response,
         Err(answer) => own_answer(&node, answer, id.as_ref(), arrival),
     };
-    if node.is_stopping.get() {
+    if node.stopping_since.get().is_some() {
         let headers = response.headers_mut();
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -58,6 +68,10 @@
         refund(node, &request);
         return Err(OwnAnswer::BadRequest("attempt_id_missing"));
     }
+    if is_too_late_to_start(node, &request) {
+        refund(node, &request);
+        return Err(OwnAnswer::NotRun("stopping", STOPPING_RETRY));
+    }
     note_request(node, &request);
     let now = BootClock::now();
     if node
@@ -84,6 +98,20 @@
     answered
 }
 
+/// Tells whether a stopping VM could cut the answer of a request off.
+fn is_too_late_to_start(node: &EntryNode, request: &AdmittedRequest) -> bool {
+    let Some(since) = node.stopping_since.get() else {
+        return false;
+    };
+    let grace = node.settings().shutdown.grace();
+    let now = BootClock::now();
+    if request.is_stream() {
+        now.since(since) > grace.fraction(STREAM_START_PARTS.0, STREAM_START_PARTS.1)
+    } else {
+        now + request.route.timeout.min(UNARY_TIME) + EXIT_MARGIN > since + grace
+    }
+}
+
 fn refund(node: &EntryNode, request: &AdmittedRequest) {
     if let Some(account) = &request.account {
         node.state.borrow_mut().quotas.refund(account, request.cost);
--- a/crates/clementinepond_entry/src/duty/lease_task.rs
+++ b/crates/clementinepond_entry/src/duty/lease_task.rs
@@ -65,10 +65,14 @@
         let event = match effect {
             LeaseEffect::Read => read(node, client).await,
             LeaseEffect::Write { expected, record } => write(node, client, expected, &record).await,
-            LeaseEffect::Acquired { fence, order_from } => {
+            LeaseEffect::Acquired {
+                fence,
+                order_from,
+                is_resumed,
+            } => {
                 let wait = BootClock::now().until(order_from);
                 log::info!("event=duty_acquired fence={fence} orders_in={wait}");
-                node.start_duty(BootClock::now());
+                node.start_duty(is_resumed, BootClock::now());
                 continue;
             }
             LeaseEffect::Lost => {
--- a/crates/clementinepond_entry/src/duty/order_task.rs
+++ b/crates/clementinepond_entry/src/duty/order_task.rs
@@ -6,7 +6,9 @@
 use clementinepond_dispatch::fleet::{EndpointEntry, ServiceId};
 use clementinepond_dispatch::health::HealthGrade;
 use clementinepond_dispatch::peer::PeerMessage;
-use clementinepond_dispatch::place::{OrderReply, PlannerEffect, PlannerInput, SentOrder};
+use clementinepond_dispatch::place::{
+    OrderReply, PlacementPlanner, PlannerEffect, PlannerInput, SentOrder,
+};
 use clementinepond_platform::{
     STATUS_PATH, order_body, order_path, read_order_reply, read_status, write_instance,
 };
@@ -99,7 +101,10 @@
             demand: &demand,
             fence,
         };
-        let planner = state.planners.entry(service.id.clone()).or_default();
+        let planner = state
+            .planners
+            .entry(service.id.clone())
+            .or_insert_with(|| PlacementPlanner::new(now));
         effects.extend(planner.step(&input, now));
     }
     let is_news = |effect: &PlannerEffect| {
@@ -249,11 +254,7 @@
     node.duty_due.notify_one();
 }
 
-fn with_planner(
-    node: &EntryNode,
-    endpoint: &EndpointId,
-    act: impl FnOnce(&mut clementinepond_dispatch::place::PlacementPlanner),
-) {
+fn with_planner(node: &EntryNode, endpoint: &EndpointId, act: impl FnOnce(&mut PlacementPlanner)) {
     let mut guard = node.state.borrow_mut();
     let state = &mut *guard;
     let service: Option<ServiceId> = state
@@ -271,11 +272,15 @@
         self.state.borrow().lease.as_ref()?.fence(now)
     }
 
-    /// Starts the duty anew.
-    pub(crate) fn start_duty(&self, now: LocalTime) {
+    /// Starts the duty anew, or goes on with it after a lapse.
+    pub(crate) fn start_duty(&self, is_resumed: bool, now: LocalTime) {
         let mut state = self.state.borrow_mut();
         for planner in state.planners.values_mut() {
-            planner.reset(now);
+            if is_resumed {
+                planner.resume();
+            } else {
+                planner.reset(now);
+            }
         }
     }
 }
--- a/crates/clementinepond_entry/src/node/entry_node.rs
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -72,7 +72,8 @@
     pub(crate) state: RefCell<NodeState>,
     pub(crate) pool: ConnectionPool,
     pub(crate) stats: NodeStats,
-    pub(crate) is_stopping: Cell<bool>,
+    /// Moment of the signal to stop.
+    pub(crate) stopping_since: Cell<Option<LocalTime>>,
     /// Wakes the watches when a peer knows more.
     pub(crate) peer_news: Notify,
     /// Wakes requests that wait for placement.
@@ -113,7 +114,7 @@
             state: RefCell::new(state),
             pool: ConnectionPool::default(),
             stats: NodeStats::default(),
-            is_stopping: Cell::new(false),
+            stopping_since: Cell::new(None),
             peer_news: Notify::new(),
             placement_changed: Notify::new(),
             duty_due: Notify::new(),
@@ -137,7 +138,7 @@
     /// Tells whether the VM can serve requests.
     pub(crate) fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        !self.is_stopping.get() && state.table.is_some() && !state.directory.is_empty()
+        self.stopping_since.get().is_none() && state.table.is_some() && !state.directory.is_empty()
     }
 
     /// Returns once a peer has known more than this VM for a while.
--- a/crates/clementinepond_entry/src/run.rs
+++ b/crates/clementinepond_entry/src/run.rs
@@ -162,7 +162,7 @@
     tracker: TaskTracker,
 ) {
     let kill_at = BootClock::now() + node.settings().shutdown.grace();
-    node.is_stopping.set(true);
+    node.stopping_since.set(Some(BootClock::now()));
     duties.cancel();
     release_lease(node).await;
     tokio::time::sleep(NOTICE_TIME.duration()).await;
