--- /dev/null
+++ b/crates/clementinepond_dispatch/tests/lease.rs
@@ -0,0 +1,187 @@
+//! The lease of the placement duty, event by event.
+
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+mod support;
+
+use clementinepond_dispatch::lease::{
+    DutyLease, LeaseEffect, LeaseEvent, LeaseRecord, StoredLease,
+};
+use clementinepond_types::{LocalTime, TimeSpan, VmId};
+use support::at;
+
+const GAP: TimeSpan = TimeSpan::from_secs(3);
+
+fn vm(name: &str) -> VmId {
+    name.parse().unwrap()
+}
+
+fn lease(name: &str, incarnation: u64) -> DutyLease {
+    DutyLease::new(vm(name), incarnation, GAP, TimeSpan::ZERO, at(0))
+}
+
+fn held_by(name: &str, incarnation: u64, revision: u64) -> StoredLease {
+    StoredLease {
+        revision,
+        record: Some(LeaseRecord {
+            holder: Some(vm(name)),
+            previous: None,
+            incarnation,
+            update: 1,
+        }),
+    }
+}
+
+fn tick(lease: &mut DutyLease, now: LocalTime) -> Vec<LeaseEffect> {
+    lease.reduce(
+        LeaseEvent::Tick {
+            holder_heard: false,
+        },
+        now,
+    )
+}
+
+fn acquire(lease: &mut DutyLease, stored: StoredLease, from: u64) -> u64 {
+    assert_eq!(tick(lease, at(from)), [LeaseEffect::Read]);
+    lease.reduce(LeaseEvent::Read(stored), at(from + 4));
+    for millis in (from + 100..from + 10_000).step_by(100) {
+        let effects = tick(lease, at(millis));
+        if let Some(LeaseEffect::Write { expected, .. }) = effects.first() {
+            let revision = expected + 10;
+            lease.reduce(LeaseEvent::Written { revision }, at(millis + 4));
+            return millis;
+        }
+    }
+    unreachable!("the lease was never pursued")
+}
+
+#[test]
+fn the_first_holder_orders_at_once() {
+    let mut lease = lease("vm-1", 1);
+    let empty = StoredLease {
+        revision: 0,
+        record: None,
+    };
+    let taken = acquire(&mut lease, empty, 0);
+    assert_eq!(lease.fence(at(taken + 10)), Some(10));
+}
+
+#[test]
+fn a_successor_waits_for_a_whole_span_and_then_the_gap() {
+    let mut lease = lease("vm-2", 2);
+    let taken = acquire(&mut lease, held_by("vm-1", 1, 50), 0);
+    assert!(taken >= 1_600, "taken after {taken} ms");
+    assert_eq!(lease.fence(at(taken + 10)), None);
+    let mut fence = None;
+    let mut millis = taken;
+    while fence.is_none() && millis < 20_000 {
+        millis += 100;
+        for effect in tick(&mut lease, at(millis)) {
+            if let LeaseEffect::Write { expected, record } = effect {
+                if millis < taken + 3_000 {
+                    // A restart within the gap must still know of it.
+                    assert_eq!(record.previous, Some(vm("vm-1")));
+                }
+                lease.reduce(
+                    LeaseEvent::Written {
+                        revision: expected + 1,
+                    },
+                    at(millis + 4),
+                );
+            }
+        }
+        fence = lease.fence(at(millis + 5));
+    }
+    assert!(
+        millis >= taken + 3_000,
+        "first order {} ms after taking over",
+        millis - taken
+    );
+    assert_eq!(fence, Some(60));
+}
+
+#[test]
+fn a_restarted_holder_goes_on_without_the_gap() {
+    let mut lease = lease("vm-1", 9);
+    let taken = acquire(&mut lease, held_by("vm-1", 1, 50), 0);
+    assert!(taken < 1_000);
+    assert_eq!(lease.fence(at(taken + 10)), Some(60));
+}
+
+#[test]
+fn authority_ends_without_renewal_even_if_no_timer_fires() {
+    let mut lease = lease("vm-1", 1);
+    let empty = StoredLease {
+        revision: 0,
+        record: None,
+    };
+    let taken = acquire(&mut lease, empty, 0);
+    assert!(lease.fence(at(taken + 1_000)).is_some());
+    // A suspended VM wakes up after its span.
+    assert_eq!(lease.fence(at(taken + 1_600)), None);
+    assert_eq!(lease.held_fence(at(taken + 1_700)), None);
+}
+
+#[test]
+fn a_renewal_counts_from_its_sending() {
+    let mut lease = lease("vm-1", 1);
+    let empty = StoredLease {
+        revision: 0,
+        record: None,
+    };
+    let taken = acquire(&mut lease, empty, 0);
+    let sent = taken + 600;
+    let effects = tick(&mut lease, at(sent));
+    assert!(matches!(effects.first(), Some(LeaseEffect::Write { .. })));
+    lease.reduce(LeaseEvent::Written { revision: 11 }, at(sent + 800));
+    assert!(lease.fence(at(sent + 1_200)).is_some());
+    assert_eq!(lease.fence(at(sent + 1_400)), None);
+}
+
+#[test]
+fn a_lost_answer_is_read_back_before_the_next_update() {
+    let mut lease = lease("vm-1", 1);
+    let empty = StoredLease {
+        revision: 0,
+        record: None,
+    };
+    let taken = acquire(&mut lease, empty, 0);
+    tick(&mut lease, at(taken + 600));
+    lease.reduce(LeaseEvent::Unknown, at(taken + 900));
+    let effects = tick(&mut lease, at(taken + 1_200));
+    assert_eq!(effects, [LeaseEffect::Read]);
+}
+
+#[test]
+fn a_holder_that_reads_another_one_stops() {
+    let mut lease = lease("vm-1", 1);
+    let empty = StoredLease {
+        revision: 0,
+        record: None,
+    };
+    let taken = acquire(&mut lease, empty, 0);
+    tick(&mut lease, at(taken + 600));
+    let effects = lease.reduce(
+        LeaseEvent::Conflict(held_by("vm-2", 2, 99)),
+        at(taken + 610),
+    );
+    assert_eq!(effects, [LeaseEffect::Lost]);
+    assert_eq!(lease.fence(at(taken + 611)), None);
+}
+
+#[test]
+fn a_released_lease_names_who_held_it() {
+    let mut lease = lease("vm-1", 1);
+    let empty = StoredLease {
+        revision: 0,
+        record: None,
+    };
+    let taken = acquire(&mut lease, empty, 0);
+    let effects = lease.reduce(LeaseEvent::Release, at(taken + 100));
+    let Some(LeaseEffect::Write { record, .. }) = effects.first() else {
+        unreachable!("release must write");
+    };
+    assert_eq!(record.holder, None);
+    assert_eq!(record.previous, Some(vm("vm-1")));
+    assert_eq!(lease.fence(at(taken + 101)), None);
+}
--- /dev/null
+++ b/crates/clementinepond_dispatch/tests/limits.rs
@@ -0,0 +1,135 @@
+//! Quotas and retry budgets over a fleet.
+
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+mod support;
+
+use clementinepond_dispatch::budget::RetryBudget;
+use clementinepond_dispatch::fleet::{AccountPolicy, QuotaUnit};
+use clementinepond_dispatch::quota::{QuotaLedger, QuotaVerdict};
+use clementinepond_types::TimeSpan;
+use support::at;
+
+fn account(rate_per_s: f64, burst: f64) -> AccountPolicy {
+    AccountPolicy {
+        id: "desk".parse().unwrap(),
+        keys: Vec::new(),
+        priority: None,
+        unit: QuotaUnit::Tokens,
+        plain_cost: 1,
+        rate_per_s,
+        burst,
+    }
+}
+
+/// Plays VMs that all take as much as they may; returns the units taken.
+fn play(vms: usize, seconds: u64, links: impl Fn(u64, usize, usize) -> bool) -> f64 {
+    let policy = account(1_000.0, 1_000.0);
+    let mut ledgers: Vec<QuotaLedger> = (0..vms).map(|_| QuotaLedger::new()).collect();
+    let mut taken = vec![0.0; vms];
+    let mut told = vec![vec![0.0; vms]; vms];
+    for step in 0..seconds * 100 {
+        let now = at(step * 10);
+        for (ledger, total) in ledgers.iter_mut().zip(taken.iter_mut()) {
+            while ledger.charge(&policy, 50.0, now) == QuotaVerdict::Within {
+                *total += 50.0;
+            }
+        }
+        if step % 15 != 0 {
+            continue;
+        }
+        for to in 0..vms {
+            let mut heard = 0;
+            for from in (0..vms).filter(|&from| from != to) {
+                if links(step * 10, from, to) {
+                    heard += 1;
+                    let units = taken[from] - told[to][from];
+                    told[to][from] = taken[from];
+                    ledgers[to].note_remote(&policy.id, units, now);
+                }
+            }
+            ledgers[to].set_contact(heard, vms - 1, now);
+        }
+    }
+    taken.iter().sum()
+}
+
+#[test]
+fn a_connected_fleet_stays_within_the_rate() {
+    let taken = play(6, 20, |_, _, _| true);
+    // Each VM may spend the burst once before the first news.
+    let bound = 20.0 * 1_000.0 + 6.0 * 1_000.0;
+    assert!(taken <= bound, "{taken} of {bound}");
+    assert!(taken >= 0.9 * 20_000.0, "only {taken} were granted");
+}
+
+#[test]
+fn both_sides_of_a_partition_together_stay_within_the_rate() {
+    let taken = play(6, 20, |_, from, to| (from < 2) == (to < 2));
+    let bound = 20.0 * 1_000.0 + 6.0 * 1_000.0;
+    assert!(taken <= bound, "{taken} of {bound}");
+    assert!(taken >= 0.85 * 20_000.0, "only {taken} were granted");
+}
+
+#[test]
+fn a_lower_quota_binds_at_once() {
+    let mut ledger = QuotaLedger::new();
+    assert_eq!(
+        ledger.charge(&account(1_000.0, 1_000.0), 900.0, at(0)),
+        QuotaVerdict::Within
+    );
+    let lower = account(100.0, 100.0);
+    assert!(matches!(
+        ledger.charge(&lower, 100.0, at(10)),
+        QuotaVerdict::Over { .. }
+    ));
+    let QuotaVerdict::Over { retry_after } = ledger.charge(&lower, 100.0, at(20)) else {
+        unreachable!("the bucket is empty");
+    };
+    assert!(retry_after > TimeSpan::from_millis(500), "{retry_after}");
+}
+
+#[test]
+fn a_refunded_request_costs_nothing() {
+    let policy = account(1.0, 1_000.0);
+    let mut ledger = QuotaLedger::new();
+    for step in 0..50 {
+        assert_eq!(
+            ledger.charge(&policy, 1_000.0, at(step)),
+            QuotaVerdict::Within
+        );
+        ledger.refund(&policy.id, 1_000.0);
+    }
+}
+
+#[test]
+fn repeats_of_all_vms_stay_within_the_fleets_budget() {
+    let vms = 8;
+    let window = TimeSpan::from_secs(10);
+    let mut budgets: Vec<RetryBudget> = (0..vms)
+        .map(|_| RetryBudget::new(0.2, 52.0, window))
+        .collect();
+    let mut repeats = Vec::new();
+    let mut requests = Vec::new();
+    for step in 0..3_000_u64 {
+        let now = at(step * 10);
+        for budget in &mut budgets {
+            if step % 20 == 0 {
+                budget.note_request(now);
+                requests.push(step * 10);
+            }
+            if budget.take_repeat(vms, now) {
+                repeats.push(step * 10);
+            }
+        }
+    }
+    for start in (0..20_000).step_by(100) {
+        let within = |all: &[u64]| {
+            all.iter()
+                .filter(|at| (start..start + 10_000).contains(*at))
+                .count()
+        };
+        let allowed = 0.2 * within(&requests) as f64 + 52.0;
+        assert!(within(&repeats) as f64 <= allowed, "window from {start}");
+    }
+}
--- /dev/null
+++ b/crates/clementinepond_dispatch/tests/planner.rs
@@ -0,0 +1,254 @@
+//! Orders of the placement duty, step by step.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::panic,
+    reason = "a test stops at the first surprise"
+)]
+
+mod support;
+
+use clementinepond_dispatch::fleet::{EndpointEntry, EnginePolicy};
+use clementinepond_dispatch::ledger::EndpointKey;
+use clementinepond_dispatch::peer::ModelDemand;
+use clementinepond_dispatch::place::{
+    EndpointOrder, EndpointStatus, OrderReply, PlacementPlanner, PlannerEffect, PlannerInput,
+    SentOrder,
+};
+use clementinepond_types::VmId;
+use fnv::FnvHashMap;
+use support::{at, engine_policy, entry, model};
+
+/// Planner with its fleet and what it asked for.
+struct Bench {
+    planner: PlacementPlanner,
+    policy: EnginePolicy,
+    endpoints: Vec<EndpointEntry>,
+    demand: FnvHashMap<EndpointKey, ModelDemand>,
+}
+
+impl Bench {
+    fn new(policy: EnginePolicy, endpoints: Vec<EndpointEntry>) -> Self {
+        Self {
+            planner: PlacementPlanner::new(at(0)),
+            policy,
+            endpoints,
+            demand: FnvHashMap::default(),
+        }
+    }
+
+    fn want(&mut self, name: &str, prefill_per_s: f32) {
+        let demand = ModelDemand {
+            arrivals_per_s: 1.0,
+            prefill_per_s,
+            output_per_s: 0.0,
+        };
+        self.demand.insert(EndpointKey::of(name), demand);
+    }
+
+    fn step(&mut self, millis: u64) -> Vec<PlannerEffect> {
+        let input = PlannerInput {
+            policy: &self.policy,
+            endpoints: self.endpoints.iter().map(|entry| (entry, true)).collect(),
+            demand: &self.demand,
+            fence: 7,
+        };
+        self.planner.step(&input, at(millis))
+    }
+
+    /// Steps until something is sent.
+    fn next_order(&mut self, from: u64, to: u64) -> Option<(u64, SentOrder)> {
+        (from..to).step_by(20).find_map(|millis| {
+            let sent = self
+                .step(millis)
+                .into_iter()
+                .find_map(|effect| match effect {
+                    PlannerEffect::Send(sent) => Some(sent),
+                    _ => None,
+                });
+            sent.map(|sent| (millis, sent))
+        })
+    }
+
+    fn status(
+        &mut self,
+        index: usize,
+        models: &[&str],
+        is_busy: bool,
+        order_count: u64,
+        asked: u64,
+    ) {
+        let id = self.endpoints[index].id.clone();
+        let status = EndpointStatus {
+            models: entry("any", models).models,
+            is_busy,
+            order_count,
+            pending: Vec::new(),
+            running: 0,
+            waiting: 0,
+        };
+        self.planner
+            .note_status(&id, &status, at(asked), at(asked + 5));
+    }
+
+    fn reply(&mut self, sent: &SentOrder, reply: OrderReply, millis: u64) {
+        self.planner
+            .note_reply(&sent.endpoint, &sent.order, reply, at(millis));
+    }
+}
+
+#[test]
+fn a_new_holder_orders_nothing_before_it_has_read_the_status() {
+    let policy = engine_policy(&[("m0", 72_700.0), ("m1", 72_700.0)]);
+    let mut bench = Bench::new(policy, vec![entry("e1", &["m0"])]);
+    bench.want("m1", 10_000.0);
+    assert_eq!(bench.next_order(0, 3_000), None);
+    let asks = bench
+        .step(3_100)
+        .into_iter()
+        .any(|effect| matches!(effect, PlannerEffect::ReadStatus { .. }));
+    assert!(asks);
+}
+
+#[test]
+fn a_load_that_an_earlier_holder_ordered_counts_as_taking_memory() {
+    let policy = engine_policy(&[("m0", 72_700.0), ("m1", 72_700.0), ("m2", 72_700.0)]);
+    let mut bench = Bench::new(policy, vec![entry("e1", &["m0"])]);
+    bench.want("m2", 50_000.0);
+    bench.step(0);
+    bench.step(600);
+    bench.status(0, &["m0"], true, 3, 700);
+    // Busy with an order of the earlier holder: what it loads is not known.
+    assert_eq!(bench.next_order(720, 2_000), None);
+    // The status names the model before the entry does.
+    bench.status(0, &["m0", "m1"], false, 3, 2_000);
+    assert_eq!(bench.next_order(2_020, 6_000), None);
+}
+
+#[test]
+fn a_load_of_unknown_fate_keeps_its_memory() {
+    let policy = engine_policy(&[("m0", 72_700.0), ("m1", 72_700.0), ("m2", 72_700.0)]);
+    let mut bench = Bench::new(policy, vec![entry("e1", &["m0"])]);
+    bench.want("m1", 50_000.0);
+    bench.step(0);
+    bench.step(600);
+    bench.status(0, &["m0"], false, 0, 700);
+    let (millis, first) = bench.next_order(720, 6_000).unwrap();
+    assert_eq!(first.order, EndpointOrder::LoadModel(model("m1")));
+    bench.reply(&first, OrderReply::Unknown, millis + 400);
+    bench.want("m1", 0.0);
+    bench.want("m2", 90_000.0);
+    // The same condition goes with every later order, so that one at most is
+    // carried out; another model does not fit beside the doubtful one.
+    while let Some((millis, sent)) = bench.next_order(millis + 420, millis + 8_000) {
+        assert_eq!(sent.after, first.after);
+        assert_eq!(sent.order, EndpointOrder::LoadModel(model("m1")));
+        bench.reply(&sent, OrderReply::Unknown, millis + 400);
+        if millis > 9_000 {
+            break;
+        }
+    }
+}
+
+#[test]
+fn a_dropped_idle_adapter_counts_as_an_order() {
+    let policy = engine_policy(&[("m0", 72_700.0)]);
+    let mut bench = Bench::new(policy, vec![entry("e1", &["m0"])]);
+    let vm: VmId = "vm-1".parse().unwrap();
+    let endpoint = bench.endpoints[0].id.clone();
+    bench.step(0);
+    bench.step(600);
+    bench.status(0, &["m0"], false, 0, 700);
+    let mut millis = 720;
+    let mut count = 0;
+    for name in ["a1", "a2", "a3"] {
+        let adapter = name.parse().unwrap();
+        bench
+            .planner
+            .want_adapter(&vm, &endpoint, &model("m0"), &adapter, at(millis));
+        let (sent_at, mut sent) = bench.next_order(millis, millis + 1_000).unwrap();
+        millis = sent_at;
+        if let EndpointOrder::UnloadAdapter(..) = sent.order {
+            assert_eq!(sent.after, count);
+            bench.reply(&sent, OrderReply::Holds, millis + 2);
+            count += 1;
+            let (sent_at, next) = bench.next_order(millis + 4, millis + 1_000).unwrap();
+            millis = sent_at;
+            sent = next;
+        }
+        assert_eq!(sent.after, count, "order for {name}");
+        assert!(matches!(sent.order, EndpointOrder::LoadAdapter(..)));
+        bench.reply(&sent, OrderReply::Accepted, millis + 2);
+        count += 1;
+        millis += 400;
+        bench.step(millis);
+    }
+    assert_eq!(count, 4);
+}
+
+#[test]
+fn adapters_never_take_more_slots_than_there_are() {
+    let policy = engine_policy(&[("m0", 72_700.0)]);
+    let mut bench = Bench::new(policy, vec![entry("e1", &["m0"])]);
+    let vm: VmId = "vm-1".parse().unwrap();
+    let endpoint = bench.endpoints[0].id.clone();
+    bench.step(0);
+    bench.step(600);
+    bench.status(0, &["m0"], false, 0, 700);
+    for name in ["a1", "a2", "a3", "a4"] {
+        let adapter = name.parse().unwrap();
+        bench
+            .planner
+            .want_adapter(&vm, &endpoint, &model("m0"), &adapter, at(720));
+    }
+    let mut held = 0_i32;
+    let mut millis = 720;
+    while let Some((sent_at, sent)) = bench.next_order(millis, millis + 500) {
+        millis = sent_at + 4;
+        match sent.order {
+            EndpointOrder::LoadAdapter(..) => {
+                held += 1;
+                bench.reply(&sent, OrderReply::Accepted, millis);
+            }
+            EndpointOrder::UnloadAdapter(..) => {
+                held -= 1;
+                bench.reply(&sent, OrderReply::Holds, millis);
+            }
+            other => panic!("unexpected {other:?}"),
+        }
+        assert!(held <= 2, "{held} adapters in 2 slots");
+        if millis > 3_000 {
+            break;
+        }
+    }
+}
+
+#[test]
+fn the_last_copy_of_a_model_is_never_given_up() {
+    let policy = engine_policy(&[("m0", 72_700.0), ("m1", 72_700.0), ("m2", 72_700.0)]);
+    let endpoints = vec![entry("e1", &["m0", "m1"]), entry("e2", &["m0", "m2"])];
+    let mut bench = Bench::new(policy, endpoints);
+    bench.want("m1", 500_000.0);
+    bench.step(0);
+    bench.step(600);
+    bench.status(0, &["m0", "m1"], false, 0, 700);
+    bench.status(1, &["m0", "m2"], false, 0, 700);
+    let mut unloaded = Vec::new();
+    for millis in (720..20_000).step_by(20) {
+        for effect in bench.step(millis) {
+            if let PlannerEffect::Send(sent) = effect {
+                if let EndpointOrder::UnloadModel(model) = &sent.order {
+                    unloaded.push(model.clone());
+                    let at_endpoint = bench
+                        .endpoints
+                        .iter_mut()
+                        .find(|entry| entry.id == sent.endpoint)
+                        .unwrap();
+                    at_endpoint.models.retain(|hosted| hosted.id != *model);
+                }
+                bench.reply(&sent, OrderReply::Accepted, millis + 2);
+            }
+        }
+    }
+    assert_eq!(unloaded, [model("m0")]);
+}
