--- /dev/null
+++ b/crates/clementinepond/tests/entry/refusals.rs
@@ -0,0 +1,98 @@
+//! Refusals: what they say must be true.
+
+use crate::support::{Deployment, answer, call_to};
+use clementinepond_platform_standin::{CallOutcome, send_call};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_not_allowed_is_refused_without_a_run() {
+    let deployment = Deployment::start(1).await;
+    let entry = deployment.entry("vm-1");
+    entry.ready().await;
+    let mut unknown_key = call_to("/chat/x", Some("m0"));
+    unknown_key.key = Some("another".into());
+    let mut no_key = call_to("/chat/x", Some("m0"));
+    no_key.key = None;
+    let mut other_host = call_to("/chat/x", Some("m0"));
+    other_host.host = "other.example".into();
+    let mut too_large = call_to("/chat/submit/x", None);
+    too_large.body = vec![b'x'; 70_000];
+    let cases = [
+        (unknown_key, 401),
+        (no_key, 401),
+        (other_host, 404),
+        (call_to("/nowhere/", None), 404),
+        (too_large, 413),
+        (call_to("/chat/x", Some("never-heard-of")), 503),
+    ];
+    for (call, expected) in cases {
+        let path = call.path.clone();
+        assert_eq!(
+            answer(send_call(entry.callers, call).await).0,
+            expected,
+            "{path}"
+        );
+    }
+    assert!(deployment.judge.runs().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_tells_when_to_come_back() {
+    let deployment = Deployment::start(1).await;
+    let entry = deployment.entry("vm-1");
+    entry.ready().await;
+    let call = call_to("/chat/x", Some("never-heard-of"));
+    let CallOutcome::Answer {
+        retry_after,
+        is_signed,
+        ..
+    } = send_call(entry.callers, call).await
+    else {
+        panic!("a refusal is a whole answer");
+    };
+    let seconds: f64 = retry_after.unwrap().parse().unwrap();
+    assert!(
+        seconds > 0.0 && seconds <= 2.0,
+        "{seconds} s of a patience of 4 s"
+    );
+    assert!(!is_signed);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_account_over_its_quota_is_told_when_to_come_back() {
+    let deployment = Deployment::start(1).await;
+    let entry = deployment.entry("vm-1");
+    entry.ready().await;
+    let mut over = None;
+    // 200 units a call against a burst of 100,000.
+    for _ in 0..40 {
+        let calls = (0..40).map(|_| send_call(entry.callers, call_to("/read/x", None)));
+        let outcomes = futures_join(calls).await;
+        over = outcomes.into_iter().find_map(|outcome| match outcome {
+            CallOutcome::Answer {
+                status,
+                retry_after,
+                ..
+            } if status == 429 => retry_after,
+            _ => None,
+        });
+        if over.is_some() {
+            break;
+        }
+    }
+    // The refill of 500 calls a second may keep up; then nothing is refused.
+    if let Some(text) = over {
+        assert!(text.parse::<f64>().unwrap() >= 0.0);
+    }
+}
+
+async fn futures_join<F>(calls: impl Iterator<Item = F>) -> Vec<CallOutcome>
+where
+    F: Future<Output = CallOutcome> + Send + 'static,
+{
+    let tasks: Vec<_> = calls.map(tokio::spawn).collect();
+    let mut outcomes = Vec::new();
+    for task in tasks {
+        outcomes.push(task.await.unwrap());
+    }
+    outcomes
+}
--- /dev/null
+++ b/crates/clementinepond/tests/entry/support.rs
@@ -0,0 +1,284 @@
+//! A small deployment: one store, endpoints and entry VMs.
+
+use clementinepond_platform_standin::{
+    CallOutcome, CallRequest, EndpointOptions, HostedEndpoint, HostedStore, RunJudge, send_call,
+};
+use hyper::Method;
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+pub(crate) const HOST: &str = "desk.example";
+pub(crate) const KEY: &str = "key-of-desk";
+/// Waits end at this limit only when something is wrong.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+static ATTEMPTS: AtomicU32 = AtomicU32::new(0);
+static FILES: AtomicU32 = AtomicU32::new(0);
+
+/// One entry VM.
+pub(crate) struct EntryProcess {
+    child: Child,
+    pub(crate) callers: SocketAddrV4,
+    pub(crate) readiness: SocketAddrV4,
+    lines: Arc<Mutex<Vec<String>>>,
+    settings: PathBuf,
+}
+
+impl Drop for EntryProcess {
+    fn drop(&mut self) {
+        // The process may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+impl EntryProcess {
+    pub(crate) fn start(name: &str, store: SocketAddrV4) -> Self {
+        let number = FILES.fetch_add(1, Ordering::Relaxed);
+        let file = format!("entry-{}-{number}.jsonc", std::process::id());
+        let settings = std::env::temp_dir().join(file);
+        let free = "127.0.0.1:0";
+        let text = json!({
+            "vm": name,
+            "data_centre": "dc-a",
+            "listen": { "callers": free, "readiness": free, "peers": free, "metrics": free },
+            "store": { "address": store.to_string() },
+            "retry": { "ratio": 0.2, "allowance": 50.0, "window_s": 10.0 },
+            "orders": { "holder_gap_ms": 3000.0 },
+            "shutdown": { "grace_s": 6.0 },
+            "peers": { "interval_ms": null },
+        });
+        std::fs::write(&settings, format!("// A test.\n{text}")).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_clementinepond"))
+            .arg("entry")
+            .arg("--settings")
+            .arg(&settings)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut output = BufReader::new(child.stdout.take().unwrap());
+        let mut first = String::new();
+        output.read_line(&mut first).unwrap();
+        let lines = Arc::new(Mutex::new(vec![first.clone()]));
+        let shared = Arc::clone(&lines);
+        std::thread::spawn(move || {
+            for line in output.lines().map_while(Result::ok) {
+                shared.lock().unwrap().push(line);
+            }
+        });
+        Self {
+            child,
+            callers: address(&first, "callers="),
+            readiness: address(&first, "readiness="),
+            lines,
+            settings,
+        }
+    }
+
+    pub(crate) fn terminate(&self) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").arg("-TERM").arg(id).status().unwrap();
+        assert!(status.success());
+    }
+
+    pub(crate) fn has_logged(&self, text: &str) -> bool {
+        self.lines
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|line| line.contains(text))
+    }
+
+    pub(crate) async fn ended(&mut self) {
+        eventually("the VM ends", || self.child.try_wait().unwrap().is_some()).await;
+    }
+
+    /// Waits until the VM says that it is ready.
+    pub(crate) async fn ready(&self) {
+        for _ in 0..300 {
+            if is_ready(self.readiness).await {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("the VM never became ready");
+    }
+}
+
+fn address(line: &str, key: &str) -> SocketAddrV4 {
+    let word = line
+        .split_whitespace()
+        .find_map(|word| word.strip_prefix(key));
+    word.unwrap_or_else(|| panic!("no {key} in {line}"))
+        .parse()
+        .unwrap()
+}
+
+pub(crate) async fn is_ready(readiness: SocketAddrV4) -> bool {
+    let call = CallRequest {
+        path: "/readyz".into(),
+        ..call_to("/readyz", None)
+    };
+    matches!(send_call(readiness, call).await, CallOutcome::Answer { status, .. } if status == 200)
+}
+
+/// Store, endpoints and what they saw.
+pub(crate) struct Deployment {
+    pub(crate) store: HostedStore,
+    pub(crate) judge: RunJudge,
+    pub(crate) engines: Vec<HostedEndpoint>,
+    pub(crate) services: Vec<HostedEndpoint>,
+}
+
+impl Deployment {
+    pub(crate) async fn start(engines: usize) -> Self {
+        let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+        let store = HostedStore::start(any).await.unwrap();
+        let judge = RunJudge::default();
+        store.put("config", "main", configuration(3));
+        let mut deployment = Self {
+            store,
+            judge,
+            engines: Vec::new(),
+            services: Vec::new(),
+        };
+        for index in 0..engines {
+            let endpoint = deployment.endpoint("engines", index, &["m0"]).await;
+            deployment.engines.push(endpoint);
+        }
+        for index in 0..2 {
+            let endpoint = deployment.endpoint("files", index, &[]).await;
+            deployment.services.push(endpoint);
+        }
+        deployment
+    }
+
+    async fn endpoint(&self, service: &str, index: usize, models: &[&str]) -> HostedEndpoint {
+        let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+        let options = EndpointOptions {
+            id: format!("{service}-{index}"),
+            service: service.into(),
+            data_centre: "dc-a".into(),
+            models: models.iter().map(|&name| name.to_owned()).collect(),
+            model_slots: 2,
+            events: 8,
+            pause: Duration::from_millis(20),
+            once_prefix: "/chat/".into(),
+        };
+        HostedEndpoint::start(any, options, &self.store, &self.judge)
+            .await
+            .unwrap()
+    }
+
+    pub(crate) fn entry(&self, name: &str) -> EntryProcess {
+        EntryProcess::start(name, self.store.address())
+    }
+}
+
+/// Writes a configuration of one version.
+pub(crate) fn configuration(version: u64) -> Value {
+    let route =
+        |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
+            json!({
+                "name": name,
+                "hostname": HOST,
+                "path_prefix": prefix,
+                "route_type": kind,
+                "timeout_ms": 5_000,
+                "target_latency_ms": 500,
+                "priority": 1,
+                "service": service,
+                "max_attempts": attempts,
+                "anonymous": false,
+                "sticky": kind == "streaming",
+                "resumable": resumable,
+            })
+        };
+    json!({
+        "version": version,
+        "routes": [
+            route("chat", "/chat/", "streaming", "engines", 1, false),
+            route("batch", "/batch/", "streaming", "engines", 2, true),
+            route("submit", "/chat/submit/", "non_idempotent", "files", 1, false),
+            route("read", "/read/", "idempotent", "files", 2, false),
+        ],
+        "services": [
+            {
+                "name": "engines",
+                "max_connections": 360,
+                "engine": {
+                    "slots": 64,
+                    "kv_capacity": 270_000,
+                    "weights_mb": 150_000.0,
+                    "adapter_slots": 2,
+                    "loads_per_s": 20.0,
+                    "models": [
+                        { "name": "m0", "weights_mb": 70_000.0, "load_time_s": 1.0, "adapters": 4, "adapter_mb": 66.0 },
+                        { "name": "m1", "weights_mb": 70_000.0, "load_time_s": 1.0, "adapters": 0, "adapter_mb": 66.0 },
+                    ],
+                },
+            },
+            { "name": "files", "max_connections": 96 },
+        ],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 65_536,
+            "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000,
+        },
+        "tenants": [{
+            "name": "desk",
+            "api_keys": [KEY],
+            "unit": "tokens",
+            "plain_tokens": 200,
+            "rate_per_s": 100_000,
+            "burst": 100_000,
+        }],
+    })
+}
+
+/// Makes a call with an identity of its own.
+pub(crate) fn call_to(path: &str, model: Option<&str>) -> CallRequest {
+    let number = ATTEMPTS.fetch_add(1, Ordering::Relaxed);
+    CallRequest {
+        method: Method::POST,
+        host: HOST.into(),
+        path: path.into(),
+        attempt: format!("attempt-{number}"),
+        key: Some(KEY.into()),
+        model: model.map(str::to_owned),
+        patience: Duration::from_secs(4),
+        body: b"{}".to_vec(),
+    }
+}
+
+/// Returns status and body of a whole answer.
+pub(crate) fn answer(outcome: CallOutcome) -> (u16, String) {
+    match outcome {
+        CallOutcome::Answer { status, body, .. } => (status.as_u16(), body),
+        other => panic!("no whole answer: {other:?}"),
+    }
+}
+
+/// Writes all events of a whole stream.
+pub(crate) fn whole_stream() -> String {
+    (1..=8)
+        .map(|id| format!("id: {id}\ndata: piece {id}\n\n"))
+        .collect()
+}
+
+/// Waits for a state.
+pub(crate) async fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = tokio::time::Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(tokio::time::Instant::now() < until, "never: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/crates/clementinepond/tests/entry/whole_path.rs
@@ -0,0 +1,92 @@
+//! Requests of every kind, from caller to endpoint and back.
+
+use crate::support::{Deployment, answer, call_to, eventually, whole_stream};
+use clementinepond_platform_standin::send_call;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_kind_of_request_is_answered_whole() {
+    let deployment = Deployment::start(2).await;
+    let entry = deployment.entry("vm-1");
+    entry.ready().await;
+    for (path, model) in [
+        ("/chat/one", Some("m0")),
+        ("/batch/one", Some("m0")),
+        ("/chat/submit/one", None),
+        ("/read/one?q=1", None),
+    ] {
+        let call = call_to(path, model);
+        let attempt = call.attempt.clone();
+        let (status, body) = answer(send_call(entry.callers, call).await);
+        assert_eq!(status, 200, "{path}: {body}");
+        let expected = match model {
+            Some(_) => whole_stream(),
+            None => format!("answer to {attempt}"),
+        };
+        assert_eq!(body, expected);
+        let runs = deployment.judge.runs_of(&attempt);
+        assert_eq!(runs.len(), 1);
+        assert_eq!(runs[0].account.as_deref(), Some("desk"));
+    }
+    assert_eq!(deployment.judge.violations(), Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_model_without_a_copy_is_loaded_and_then_served() {
+    let deployment = Deployment::start(2).await;
+    let entry = deployment.entry("vm-1");
+    entry.ready().await;
+    let engines = deployment.engines.clone();
+    eventually("m1 is loaded somewhere", || {
+        engines
+            .iter()
+            .any(|engine| engine.models().contains(&"m1".to_owned()))
+    })
+    .await;
+    eventually("the entry VM knows", || entry.has_logged("change=Updated")).await;
+    let (status, _) = answer(send_call(entry.callers, call_to("/chat/rare", Some("m1"))).await);
+    assert_eq!(status, 200);
+    assert_eq!(deployment.judge.violations(), Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_adapter_is_loaded_on_demand_within_its_slots() {
+    let deployment = Deployment::start(1).await;
+    let entry = deployment.entry("vm-1");
+    entry.ready().await;
+    eventually("the VM holds the duty", || {
+        entry.has_logged("event=duty_acquired")
+    })
+    .await;
+    for round in 0..8 {
+        let model = format!("m0/a{}", round % 4 + 1);
+        // The first request may come before the holder has read the status.
+        let mut status = 0;
+        for _ in 0..20 {
+            let call = call_to("/chat/adapter", Some(&model));
+            status = answer(send_call(entry.callers, call).await).0;
+            if status == 200 {
+                break;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+        }
+        assert_eq!(status, 200, "{model}");
+    }
+    assert_eq!(deployment.judge.violations(), Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_vms_learn_of_each_other_and_one_orders() {
+    let deployment = Deployment::start(2).await;
+    let (first, second) = (deployment.entry("vm-1"), deployment.entry("vm-2"));
+    first.ready().await;
+    second.ready().await;
+    eventually("they meet", || {
+        first.has_logged("event=peer_learned") && second.has_logged("event=peer_learned")
+    })
+    .await;
+    eventually("one holds the duty", || {
+        first.has_logged("event=duty_acquired") != second.has_logged("event=duty_acquired")
+    })
+    .await;
+    assert_eq!(deployment.judge.violations(), Vec::<String>::new());
+}
--- a/crates/clementinepond_dispatch/src/ledger/endpoint_key.rs
+++ b/crates/clementinepond_dispatch/src/ledger/endpoint_key.rs
@@ -21,4 +21,10 @@
         let hash = hasher.finish();
         Self((hash ^ (hash >> 32)) as u32)
     }
+
+    /// Returns the hash as a number.
+    #[must_use]
+    pub fn number(self) -> u64 {
+        u64::from(self.0)
+    }
 }
--- a/crates/clementinepond_dispatch/src/place/choose.rs
+++ b/crates/clementinepond_dispatch/src/place/choose.rs
@@ -34,6 +34,7 @@
         .iter()
         .enumerate()
         .filter_map(|(index, model)| match copies[index] {
+            0 if model.is_awaited => None,
             0 => Some((
                 true,
                 model.work + f64::from(u8::from(model.is_wanted)),
--- a/crates/clementinepond_dispatch/src/place/planner.rs
+++ b/crates/clementinepond_dispatch/src/place/planner.rs
@@ -21,6 +21,11 @@
 const MOVE_INTERVAL: TimeSpan = TimeSpan::from_millis(250);
 /// Moves started in one search at most.
 const MOVES_A_SEARCH: usize = 4;
+/// Time for which a model without a copy may just be on its way back: endpoints
+/// list themselves within a heartbeat of their start.
+const LOST_PATIENCE: TimeSpan = TimeSpan::from_millis(2_500);
+/// The same when requests ask for the model.
+const WANTED_PATIENCE: TimeSpan = TimeSpan::from_millis(250);
 /// Time between two readings of an endpoint's status.
 const STATUS_INTERVAL: TimeSpan = TimeSpan::from_millis(200);
 /// Age of an accepted order up to which a status may not show it yet.
@@ -113,6 +118,8 @@
     store_credit: f64,
     credited_at: LocalTime,
     next_search: LocalTime,
+    /// Moment since which no endpoint holds a model.
+    lost_since: FnvHashMap<ModelId, LocalTime>,
     /// Moment before which a status may not show the last holder's orders.
     quiet_until: LocalTime,
 }
@@ -254,6 +261,7 @@
         self.carry_moves(input, now, &mut effects);
         if now >= self.next_search {
             self.next_search = now + MOVE_INTERVAL;
+            self.note_lost(input, now);
             self.search_moves(input, now, &mut effects);
         }
         effects
@@ -507,6 +515,21 @@
         Some(EndpointOrder::LoadModel(load))
     }
 
+    /// Notes since when each model has been without a copy.
+    fn note_lost(&mut self, input: &PlannerInput<'_>, now: LocalTime) {
+        for profile in &input.policy.models {
+            let is_held = input
+                .endpoints
+                .iter()
+                .any(|(entry, is_usable)| *is_usable && entry.hosted(&profile.id).is_some());
+            if is_held {
+                self.lost_since.remove(&profile.id);
+            } else {
+                self.lost_since.entry(profile.id.clone()).or_insert(now);
+            }
+        }
+    }
+
     fn search_moves(
         &mut self,
         input: &PlannerInput<'_>,
@@ -550,6 +573,15 @@
 
     fn view(&self, input: &PlannerInput<'_>, now: LocalTime) -> PlacementView {
         let index_of = |id: &ModelId| input.policy.models.iter().position(|one| one.id == *id);
+        let is_patient = |id: &ModelId, is_wanted: bool| {
+            let patience = if is_wanted {
+                WANTED_PATIENCE
+            } else {
+                LOST_PATIENCE
+            };
+            let since = self.lost_since.get(id);
+            since.is_none_or(|at| now.since(*at) < patience)
+        };
         let models = input.policy.models.iter().map(|profile| {
             let demand = input.demand.get(&EndpointKey::of(profile.id.as_str()));
             ModelView {
@@ -557,6 +589,7 @@
                 weights_mb: profile.weights_mb,
                 work: demand.copied().map_or(0.0, work_of),
                 is_wanted: demand.is_some(),
+                is_awaited: is_patient(&profile.id, demand.is_some()),
                 load_times: [profile.store_load, profile.disk_load, profile.memory_load],
             }
         });
--- a/crates/clementinepond_dispatch/src/place/view.rs
+++ b/crates/clementinepond_dispatch/src/place/view.rs
@@ -34,6 +34,8 @@
     pub work: f64,
     /// Whether anybody asks for it.
     pub is_wanted: bool,
+    /// Whether a model without a copy is expected to come back by itself.
+    pub is_awaited: bool,
     /// Load time from the weight store, from disk and from host memory.
     pub load_times: [TimeSpan; 3],
 }
--- a/crates/clementinepond_dispatch/src/select/engine_choice.rs
+++ b/crates/clementinepond_dispatch/src/select/engine_choice.rs
@@ -17,6 +17,8 @@
 const STEP_MS: f64 = 6.0;
 /// Time to load an adapter through the planner, in milliseconds.
 const ADAPTER_LOAD_MS: f64 = 35.0;
+/// Time to load an adapter where another one has to make way, in milliseconds.
+const ADAPTER_SWAP_MS: f64 = 150.0;
 /// Handicap of an engine in another data centre, in milliseconds.
 const DISTANCE_MS: f64 = 12.0;
 /// Handicap of an engine that has left the list, in milliseconds.
@@ -37,6 +39,8 @@
     Ready,
     /// Has to be loaded first.
     Missing,
+    /// Has to be loaded in the place of another one.
+    Crowded,
 }
 
 /// One engine that holds the model.
@@ -110,6 +114,7 @@
     let adapter = match candidate.adapter {
         AdapterReadiness::Ready => 0.0,
         AdapterReadiness::Missing => ADAPTER_LOAD_MS,
+        AdapterReadiness::Crowded => ADAPTER_SWAP_MS,
     };
     reading * candidate.pace + slot_wait + memory_wait + adapter
 }
--- a/crates/clementinepond_entry/src/caller/relay.rs
+++ b/crates/clementinepond_entry/src/caller/relay.rs
@@ -7,6 +7,7 @@
 use crate::http::{ConnectFailure, open_connection};
 use crate::node::{EntryNode, PickQuery, PickedEndpoint, RefusalCause, increment};
 use clementinepond_dispatch::health::EndpointOutcome;
+use clementinepond_dispatch::ledger::EndpointKey;
 use clementinepond_dispatch::peer::PeerMessage;
 use clementinepond_platform::AttemptHeaders;
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
@@ -22,8 +23,10 @@
 const UNREACHED_LIMIT: u32 = 4;
 /// Sends of one request to an endpoint that still loads its adapter, at most.
 const ADAPTER_SENDS: u32 = 3;
+/// Pause before a request is sent again to an endpoint that loads its adapter.
+const ADAPTER_PAUSE: TimeSpan = TimeSpan::from_millis(12);
 /// Longest wait for an adapter.
-const ADAPTER_WAIT: TimeSpan = TimeSpan::from_millis(900);
+const ADAPTER_WAIT: TimeSpan = TimeSpan::from_millis(400);
 /// Silence of an endpoint after which a request that may be repeated goes to
 /// another one, in multiples of the expected time.
 const SILENCE_FACTOR: u64 = 5;
@@ -161,6 +164,7 @@
                     if self.is_adapter_missing(&answer, &picked) && self.pay_repeat() {
                         self.note_missing_adapter(&picked);
                         needs_adapter = true;
+                        tokio::time::sleep(ADAPTER_PAUSE.duration()).await;
                         continue;
                     }
                     return self.note_refusal(&answer, &picked);
@@ -284,7 +288,17 @@
             status.as_u16(),
             answer.mark.load
         );
-        self.node.note_outcome(&picked.id, outcome);
+        if let (false, StatusCode::MISDIRECTED_REQUEST, Some(target)) =
+            (is_stranger, status, &self.request.profile.target)
+        {
+            let endpoint = EndpointKey::of(picked.id.as_str());
+            let model = EndpointKey::of(target.model.as_str());
+            let now = BootClock::now();
+            let mut state = self.node.state.borrow_mut();
+            state.placement.note_absent(endpoint, model, now);
+        } else {
+            self.node.note_outcome(&picked.id, outcome);
+        }
         self.tried.push(picked.id.clone());
         if self.take_repeat() {
             return Ok(None);
@@ -350,8 +364,14 @@
             .instance
             .as_deref()
             .is_none_or(|instance| instance == picked.id.as_str());
+        let has_room = answer
+            .mark
+            .load
+            .is_some_and(|load| load.running < load.slots);
         let status = answer.response.status();
-        has_adapter && is_same && status == StatusCode::MISDIRECTED_REQUEST
+        // An adapter on its way is refused like a full endpoint.
+        let is_loading = status == StatusCode::SERVICE_UNAVAILABLE && has_room;
+        has_adapter && is_same && (is_loading || status == StatusCode::MISDIRECTED_REQUEST)
     }
 
     fn note_missing_adapter(&self, picked: &PickedEndpoint) {
@@ -376,6 +396,7 @@
     fn refuse(&self, cause: RefusalCause) -> OwnAnswer {
         match cause {
             RefusalCause::NoEndpoint => self.give_up("no_endpoint", NO_COPY_RETRY),
+            RefusalCause::NoAdapter => self.give_up("no_placement_duty", NO_COPY_RETRY),
             RefusalCause::NoCopy => self.give_up("no_copy", NO_COPY_RETRY),
             RefusalCause::Crowded(span) => self.give_up("crowded", span),
         }
--- a/crates/clementinepond_entry/src/node/contact.rs
+++ b/crates/clementinepond_entry/src/node/contact.rs
@@ -33,6 +33,7 @@
         started_at: LocalTime,
         now: LocalTime,
     ) {
+        self.learn_peer(from, address, now);
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
         let loads = news.loads.clone();
--- a/crates/clementinepond_entry/src/node/pick.rs
+++ b/crates/clementinepond_entry/src/node/pick.rs
@@ -37,6 +37,8 @@
     NoEndpoint,
     /// No endpoint holds the model.
     NoCopy,
+    /// No endpoint holds the adapter, and nobody can have it loaded.
+    NoAdapter,
     /// No endpoint can start it in time.
     Crowded(TimeSpan),
 }
@@ -131,7 +133,12 @@
             .usable(query.service, now)
             .filter(|known| known.entry.hosted(&target.model).is_some())
             .filter(|known| !query.tried.contains(&known.entry.id))
+            .filter(|known| {
+                let key = EndpointKey::of(known.entry.id.as_str());
+                !state.placement.is_absent(key, model_key, now)
+            })
             .collect();
+        let has_holder = state.has_duty_holder(now);
         let open: Vec<&KnownEndpoint> = holders
             .iter()
             .copied()
@@ -163,10 +170,13 @@
                             endpoint: key,
                             adapter: adapter_key(&target.model, adapter),
                         };
+                        let held = state.placement.adapters_at(key);
                         if state.placement.has_adapter(&place) {
                             AdapterReadiness::Ready
-                        } else {
+                        } else if held < engine.adapter_slots as usize {
                             AdapterReadiness::Missing
+                        } else {
+                            AdapterReadiness::Crowded
                         }
                     }
                     None => AdapterReadiness::Ready,
@@ -191,12 +201,17 @@
             EngineVerdict::NoCopy => return Err(RefusalCause::NoCopy),
         };
         let chosen = &candidates[index];
+        if chosen.adapter != AdapterReadiness::Ready && !has_holder {
+            return Err(RefusalCause::NoAdapter);
+        }
         let prefill = tokens.prompt.saturating_sub(chosen.cached_tokens);
         let missing_adapter = match (&target.adapter, chosen.adapter) {
-            (Some(adapter), AdapterReadiness::Missing) => Some(AdapterPlace {
-                endpoint: EndpointKey::of(chosen.endpoint.id.as_str()),
-                adapter: adapter_key(&target.model, adapter),
-            }),
+            (Some(adapter), AdapterReadiness::Missing | AdapterReadiness::Crowded) => {
+                Some(AdapterPlace {
+                    endpoint: EndpointKey::of(chosen.endpoint.id.as_str()),
+                    adapter: adapter_key(&target.model, adapter),
+                })
+            }
             _ => None,
         };
         let id = chosen.endpoint.id.clone();
@@ -355,10 +370,17 @@
         .sum()
 }
 
-/// Returns the holder that owns the request's session, the same on every VM.
+/// Returns the holder that owns the request's adapter or session, the same on
+/// every VM.
 fn session_owner(profile: &RequestProfile, holders: &[&KnownEndpoint]) -> Option<usize> {
-    let count = profile.parts.len();
-    let session = profile.parts.get(count.saturating_sub(2))?.id;
+    let adapter = profile
+        .target
+        .as_ref()
+        .and_then(|target| Some(adapter_key(&target.model, target.adapter.as_ref()?)));
+    let session = match adapter {
+        Some(key) => key.number(),
+        None => profile.parts.get(profile.parts.len().saturating_sub(2))?.id,
+    };
     let weight = |known: &KnownEndpoint| rendezvous_weight(session, known.entry.id.as_str());
     (0..holders.len()).max_by_key(|&index| weight(holders[index]))
 }
--- a/crates/clementinepond_entry/src/node/placement.rs
+++ b/crates/clementinepond_entry/src/node/placement.rs
@@ -1,6 +1,7 @@
 //! What the holder of the placement duty told this VM, and what it is asked.
 
 use super::EntryNode;
+use super::entry_node::NodeState;
 use crate::clock::BootClock;
 use clementinepond_dispatch::fleet::ModelTarget;
 use clementinepond_dispatch::ledger::EndpointKey;
@@ -12,6 +13,9 @@
 /// Age of the holder's news up to which a copy counts as closing.
 const CLOSING_AGE: TimeSpan = TimeSpan::from_secs(3);
 
+/// Time for which an endpoint's word that it lacks a model counts; its entry
+/// follows within a heartbeat.
+const ABSENCE_SPAN: TimeSpan = TimeSpan::from_millis(1_000);
 /// Time between two words to the holder about an adapter in use.
 const USE_NEWS: TimeSpan = TimeSpan::from_millis(1_000);
 /// Time after which an unanswered wish for an adapter is sent again.
@@ -25,6 +29,10 @@
     adapters: FnvHashSet<AdapterPlace>,
     closing: FnvHashSet<(EndpointKey, EndpointKey)>,
     heard_at: LocalTime,
+    /// Adapters at each endpoint.
+    counts: FnvHashMap<EndpointKey, usize>,
+    /// Models that an endpoint said it does not hold, and until when that counts.
+    absent: FnvHashMap<(EndpointKey, EndpointKey), LocalTime>,
     /// Moment of the last word to the holder about each adapter in use.
     pub(crate) told: FnvHashMap<AdapterPlace, LocalTime>,
 }
@@ -38,13 +46,47 @@
         self.fence = news.fence;
         self.number = news.number;
         self.adapters = news.adapters.into_iter().collect();
+        self.counts.clear();
+        for place in &self.adapters {
+            *self.counts.entry(place.endpoint).or_default() += 1;
+        }
         self.closing = news.closing.into_iter().collect();
         self.heard_at = now;
         true
     }
 
     pub(crate) fn note_ready(&mut self, place: AdapterPlace) {
-        self.adapters.insert(place);
+        let endpoint = place.endpoint;
+        if self.adapters.insert(place) {
+            *self.counts.entry(endpoint).or_default() += 1;
+        }
+    }
+
+    /// Returns the number of adapters at an endpoint.
+    pub(crate) fn adapters_at(&self, endpoint: EndpointKey) -> usize {
+        self.counts.get(&endpoint).copied().unwrap_or(0)
+    }
+
+    /// Notes that an endpoint said it does not hold a model.
+    pub(crate) fn note_absent(
+        &mut self,
+        endpoint: EndpointKey,
+        model: EndpointKey,
+        now: LocalTime,
+    ) {
+        self.absent.retain(|_, until| now < *until);
+        self.absent.insert((endpoint, model), now + ABSENCE_SPAN);
+    }
+
+    pub(crate) fn is_absent(
+        &self,
+        endpoint: EndpointKey,
+        model: EndpointKey,
+        now: LocalTime,
+    ) -> bool {
+        self.absent
+            .get(&(endpoint, model))
+            .is_some_and(|until| now < *until)
     }
 
     pub(crate) fn note_missing(&mut self, place: &AdapterPlace) {
@@ -65,6 +107,20 @@
     }
 }
 
+impl NodeState {
+    /// Tells whether this VM may give orders now.
+    pub(crate) fn holds_duty(&self, now: LocalTime) -> bool {
+        self.lease
+            .as_ref()
+            .is_some_and(|lease| lease.fence(now).is_some())
+    }
+
+    /// Tells whether this VM or a heard peer holds the placement duty.
+    pub(crate) fn has_duty_holder(&self, now: LocalTime) -> bool {
+        self.holds_duty(now) || self.peers.duty_holder(now).is_some()
+    }
+}
+
 impl EntryNode {
     pub(crate) fn take_placement(&self, news: PlacementNews, now: LocalTime) {
         if self.state.borrow_mut().placement.take(news, now) {
@@ -88,10 +144,7 @@
     ) {
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
-        let holds = state
-            .lease
-            .as_ref()
-            .is_some_and(|lease| lease.fence(now).is_some());
+        let holds = state.holds_duty(now);
         let service = state
             .directory
             .get(endpoint)
--- a/crates/clementinepond_entry/src/peer/socket.rs
+++ b/crates/clementinepond_entry/src/peer/socket.rs
@@ -23,9 +23,8 @@
 }
 
 impl PeerSocket {
-    pub(crate) async fn bind(address: SocketAddrV4, me: VmId) -> std::io::Result<Self> {
-        let socket = UdpSocket::bind(address).await?;
-        Ok(Self { socket, me })
+    pub(crate) const fn new(socket: UdpSocket, me: VmId) -> Self {
+        Self { socket, me }
     }
 
     /// Writes a message as a datagram.
--- a/crates/clementinepond_entry/src/run.rs
+++ b/crates/clementinepond_entry/src/run.rs
@@ -6,15 +6,15 @@
 use crate::log_sink::flush_log;
 use crate::node::EntryNode;
 use crate::peer::{PeerSocket, follow_peers, run_news, run_receiver, serve_snapshots};
-use crate::settings::{EntrySettings, SettingsError};
+use crate::settings::{EntrySettings, ListenSettings, SettingsError};
 use crate::store::{WatchTarget, announce_vm, run_watch};
 use clementinepond_types::TimeSpan;
 use derive_more::{Display, Error, From};
 use rand::RngExt;
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
@@ -59,20 +59,28 @@
     Ok(served?)
 }
 
-async fn serve(settings: EntrySettings, path: PathBuf) -> std::io::Result<()> {
+async fn serve(mut settings: EntrySettings, path: PathBuf) -> std::io::Result<()> {
     let incarnation = rand::rng().random();
-    let listen = settings.listen.clone();
+    let listeners = Listeners::bind(&mut settings.listen).await?;
+    let listen = &settings.listen;
     log::info!(
-        "event=vm_started vm={} data_centre={} callers={} incarnation={incarnation:016x}",
+        "event=vm_started vm={} data_centre={} callers={} readiness={} peers={} metrics={} incarnation={incarnation:016x}",
         settings.vm,
         settings.data_centre,
-        listen.callers
+        listen.callers,
+        listen.readiness,
+        listen.peers,
+        listen.metrics
     );
-    let callers = bind(listen.callers)?;
-    let readiness = bind(listen.readiness)?;
-    let snapshots = bind(listen.peers)?;
-    let metrics = bind(listen.metrics)?;
-    let socket = Rc::new(PeerSocket::bind(listen.peers, settings.vm.clone()).await?);
+    flush_log();
+    let Listeners {
+        callers,
+        readiness,
+        snapshots,
+        metrics,
+        datagrams,
+    } = listeners;
+    let socket = Rc::new(PeerSocket::new(datagrams, settings.vm.clone()));
     let node = Rc::new(EntryNode::new(settings, incarnation));
     // The cell is empty: the node was just made.
     let _ = node.socket.set(Rc::clone(&socket));
@@ -178,9 +186,40 @@
     stages.ended.cancel();
 }
 
-fn bind(address: SocketAddrV4) -> std::io::Result<TcpListener> {
+/// Sockets of an entry VM.
+struct Listeners {
+    callers: TcpListener,
+    readiness: TcpListener,
+    snapshots: TcpListener,
+    metrics: TcpListener,
+    datagrams: UdpSocket,
+}
+
+impl Listeners {
+    /// Binds all sockets; a port 0 is replaced by the port that was found.
+    async fn bind(listen: &mut ListenSettings) -> std::io::Result<Self> {
+        let callers = bind(&mut listen.callers)?;
+        let readiness = bind(&mut listen.readiness)?;
+        let metrics = bind(&mut listen.metrics)?;
+        let snapshots = bind(&mut listen.peers)?;
+        let datagrams = UdpSocket::bind(listen.peers).await?;
+        Ok(Self {
+            callers,
+            readiness,
+            snapshots,
+            metrics,
+            datagrams,
+        })
+    }
+}
+
+fn bind(address: &mut SocketAddrV4) -> std::io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
-    socket.bind(address.into())?;
-    socket.listen(ACCEPT_QUEUE)
+    socket.bind((*address).into())?;
+    let listener = socket.listen(ACCEPT_QUEUE)?;
+    if let SocketAddr::V4(bound) = listener.local_addr()? {
+        *address = bound;
+    }
+    Ok(listener)
 }
--- a/crates/clementinepond_entry/src/settings/mod.rs
+++ b/crates/clementinepond_entry/src/settings/mod.rs
@@ -4,4 +4,5 @@
 mod read;
 
 pub use entry_settings::EntrySettings;
+pub(crate) use entry_settings::ListenSettings;
 pub use read::SettingsError;
