--- a/crates/clementinepond_dispatch/src/lease/mod.rs
+++ b/crates/clementinepond_dispatch/src/lease/mod.rs
@@ -51,6 +51,8 @@
     Tick {
         /// Whether a holder was heard.
         holder_heard: bool,
+        /// Head start that this VM leaves to the others once the holder falls silent.
+        head_start: TimeSpan,
     },
     /// The object was read.
     Read(StoredLease),
@@ -108,8 +110,6 @@
     incarnation: u64,
     update: u64,
     order_gap: TimeSpan,
-    /// Head start that this VM leaves to the others.
-    stagger: TimeSpan,
     held: Option<HeldLease>,
     seen: Option<(StoredLease, LocalTime)>,
     calling_since: Option<LocalTime>,
@@ -133,7 +133,6 @@
             incarnation,
             update: 0,
             order_gap,
-            stagger,
             held: None,
             seen: None,
             calling_since: None,
@@ -163,7 +162,10 @@
     /// Handles one event.
     pub fn reduce(&mut self, event: LeaseEvent, now: LocalTime) -> Vec<LeaseEffect> {
         match event {
-            LeaseEvent::Tick { holder_heard } => self.tick(holder_heard, now),
+            LeaseEvent::Tick {
+                holder_heard,
+                head_start,
+            } => self.tick(holder_heard, head_start, now),
             LeaseEvent::Read(stored) => {
                 self.calling_since = None;
                 self.note_read(stored, now)
@@ -185,7 +187,12 @@
         }
     }
 
-    fn tick(&mut self, holder_heard: bool, now: LocalTime) -> Vec<LeaseEffect> {
+    fn tick(
+        &mut self,
+        holder_heard: bool,
+        head_start: TimeSpan,
+        now: LocalTime,
+    ) -> Vec<LeaseEffect> {
         let mut effects = Vec::new();
         if self
             .held
@@ -214,7 +221,7 @@
             effects.extend(self.pursue(now));
         } else {
             self.seen = None;
-            self.next_call = now + self.stagger;
+            self.next_call = now + head_start;
         }
         effects
     }
--- a/crates/clementinepond_dispatch/src/peer/message.rs
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -11,6 +11,8 @@
     pub account: AccountId,
     /// Units admitted since the VM's process started.
     pub admitted: f64,
+    /// Units asked for a second, refused ones included.
+    pub asked_per_s: f64,
     /// Level of the VM's copy of the bucket.
     pub level: f64,
 }
@@ -51,8 +53,10 @@
     pub configuration: u64,
     /// Revision of the newest change of an endpoint's entry that the VM knows.
     pub directory: u64,
-    /// Whether the VM's own path to the store works.
+    /// Whether the VM's own calls of the store work, as far as it makes any.
     pub has_store: bool,
+    /// Milliseconds since the store last answered this VM's watches.
+    pub store_age_ms: u32,
     /// Fencing number, when the VM holds the placement duty.
     pub duty: Option<u64>,
     /// Accounts.
@@ -96,6 +100,8 @@
     News(Box<PeerNews>),
     /// News of placement.
     Placement(Box<PlacementNews>),
+    /// Changes of endpoints' entries.
+    Entries(EntryNews),
     /// A request waits for an adapter, or has used it.
     AdapterWanted {
         /// Endpoint that is to load it.
@@ -114,6 +120,26 @@
     },
 }
 
+/// One change of an endpoint's entry, as the store holds it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EntryChange {
+    /// Name of the entry.
+    pub name: Box<str>,
+    /// Revision of the change.
+    pub revision: u64,
+    /// Content as JSON; none when the entry was deleted.
+    pub spec: Option<Box<str>>,
+}
+
+/// Changes of endpoints' entries that follow each other.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EntryNews {
+    /// Revision of the newest change before these.
+    pub after: u64,
+    /// Changes, oldest first.
+    pub changes: Vec<EntryChange>,
+}
+
 /// A message with its sender.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PeerEnvelope {
--- a/crates/clementinepond_dispatch/src/peer/mod.rs
+++ b/crates/clementinepond_dispatch/src/peer/mod.rs
@@ -4,6 +4,7 @@
 mod peer_table;
 
 pub use message::{
-    AccountNews, AdapterPlace, ModelDemand, PeerEnvelope, PeerMessage, PeerNews, PlacementNews,
+    AccountNews, AdapterPlace, EntryChange, EntryNews, ModelDemand, PeerEnvelope, PeerMessage,
+    PeerNews, PlacementNews,
 };
-pub use peer_table::{PeerState, PeerTable, RemoteUse};
+pub use peer_table::{PeerState, PeerTable, RemoteUse, SMALL_FLEET};
--- a/crates/clementinepond_dispatch/src/peer/peer_table.rs
+++ b/crates/clementinepond_dispatch/src/peer/peer_table.rs
@@ -2,6 +2,7 @@
 
 use super::{ModelDemand, PeerNews};
 use crate::ledger::EndpointKey;
+use crate::select::rendezvous_weight;
 use clementinepond_types::{AccountId, DataCentreId, LocalTime, TimeSpan, VmId};
 use fnv::FnvHashMap;
 use std::collections::BTreeMap;
@@ -10,10 +11,21 @@
 /// Silence after which a peer no longer counts as heard; several news are
 /// sent within it, so that lost datagrams alone do not silence a peer.
 const SILENCE: TimeSpan = TimeSpan::from_millis(1_500);
+/// Peers for which the silence is doubled, since news come less often in a
+/// larger fleet.
+const SILENCE_DOUBLING: u64 = 70;
+/// VMs of a data centre that watch the store for the others; two, so that one
+/// may be lost.
+const WATCHERS: usize = 2;
+/// Largest fleet in which each VM watches the store by itself.
+pub const SMALL_FLEET: usize = 12;
 /// Silence after which a peer no longer counts at all; longer than the
 /// partitions that the platform announces.
 const FORGET_AFTER: TimeSpan = TimeSpan::from_secs(25);
 
+/// Key of the line of watchers.
+const WATCH_KEY: u64 = 1;
+
 /// One peer.
 #[derive(Debug, Clone)]
 pub struct PeerState {
@@ -120,9 +132,31 @@
 
     /// Returns the peers that were heard lately.
     pub fn heard(&self, now: LocalTime) -> impl Iterator<Item = (&VmId, &PeerState)> {
+        let peers = self.peers.len() as u64;
+        let silence = SILENCE.fraction(SILENCE_DOUBLING + peers, SILENCE_DOUBLING);
         self.peers
             .iter()
-            .filter(move |(_, peer)| peer.news.is_some() && now.since(peer.heard_at) < SILENCE)
+            .filter(move |(_, peer)| peer.news.is_some() && now.since(peer.heard_at) < silence)
+    }
+
+    /// Returns a VM's place in line for watching the store in its data centre,
+    /// the same on all VMs that hear each other.
+    #[must_use]
+    pub fn watch_rank(&self, me: &VmId, data_centre: &DataCentreId, now: LocalTime) -> usize {
+        let own = rendezvous_weight(WATCH_KEY, me.as_str());
+        self.heard(now)
+            .filter(|(_, peer)| {
+                let news = peer.news.as_ref();
+                news.is_some_and(|news| news.has_store && news.data_centre == *data_centre)
+            })
+            .filter(|(vm, _)| rendezvous_weight(WATCH_KEY, vm.as_str()) > own)
+            .count()
+    }
+
+    /// Tells whether a VM watches the store itself rather than hear of changes.
+    #[must_use]
+    pub fn is_watcher(&self, me: &VmId, data_centre: &DataCentreId, now: LocalTime) -> bool {
+        self.peers.len() < SMALL_FLEET || self.watch_rank(me, data_centre, now) < WATCHERS
     }
 
     /// Returns the number of peers that were heard lately, and of all.
@@ -152,6 +186,19 @@
         Some(&news.data_centre)
     }
 
+    /// Returns the units of each account that are asked a second at all peers
+    /// that were heard lately.
+    #[must_use]
+    pub fn asked(&self, now: LocalTime) -> FnvHashMap<AccountId, f64> {
+        let mut sum: FnvHashMap<AccountId, f64> = FnvHashMap::default();
+        for (_, peer) in self.heard(now) {
+            for account in peer.news.iter().flat_map(|news| &news.accounts) {
+                *sum.entry(account.account.clone()).or_default() += account.asked_per_s;
+            }
+        }
+        sum
+    }
+
     /// Returns the demand of all peers that were heard lately.
     #[must_use]
     pub fn demand(&self, now: LocalTime) -> FnvHashMap<EndpointKey, ModelDemand> {
--- a/crates/clementinepond_dispatch/src/quota/account_bucket.rs
+++ b/crates/clementinepond_dispatch/src/quota/account_bucket.rs
@@ -34,6 +34,12 @@
         self.level = burst - spent.min(burst);
     }
 
+    /// Returns the burst.
+    #[must_use]
+    pub const fn burst(&self) -> f64 {
+        self.burst
+    }
+
     /// Refills up to `now` with the part of the rate that this VM may count on.
     pub fn refill(&mut self, part: f64, now: LocalTime) {
         let passed = now.since(self.filled_at).micros() as f64 / 1e6;
--- a/crates/clementinepond_dispatch/src/quota/mod.rs
+++ b/crates/clementinepond_dispatch/src/quota/mod.rs
@@ -10,4 +10,4 @@
 mod quota_ledger;
 
 pub use account_bucket::AccountBucket;
-pub use quota_ledger::{QuotaLedger, QuotaVerdict};
+pub use quota_ledger::{AccountFigures, QuotaLedger, QuotaVerdict};
--- a/crates/clementinepond_dispatch/src/quota/quota_ledger.rs
+++ b/crates/clementinepond_dispatch/src/quota/quota_ledger.rs
@@ -17,12 +17,58 @@
     },
 }
 
+/// Time constant of the demand's moving average, in seconds.
+const DEMAND_MEMORY_S: f64 = 2.0;
+/// Share of an account's rate from which its demand counts as heavy.
+const HEAVY_SHARE: f64 = 0.9;
+/// Requests that a VM's own share always holds at least.
+const SHARE_REQUESTS: f64 = 1.5;
+
 /// Quota state of one account at one VM.
 #[derive(Debug, Clone)]
 struct AccountUse {
     bucket: AccountBucket,
+    /// Part of the bucket that this VM may use while demand is heavy.
+    share: AccountBucket,
     /// Units admitted here since the process started.
     admitted: f64,
+    /// Units asked here a second, refused ones included.
+    asked_per_s: f64,
+    asked_at: LocalTime,
+}
+
+impl AccountUse {
+    const fn new(policy: &AccountPolicy, now: LocalTime) -> Self {
+        Self {
+            bucket: AccountBucket::new(policy.rate_per_s, policy.burst, now),
+            share: AccountBucket::new(policy.rate_per_s, policy.burst, now),
+            admitted: 0.0,
+            asked_per_s: 0.0,
+            asked_at: now,
+        }
+    }
+
+    /// Returns the demand as of now.
+    fn asked(&self, now: LocalTime) -> f64 {
+        let seconds = now.since(self.asked_at).micros() as f64 / 1e6;
+        self.asked_per_s * (-seconds / DEMAND_MEMORY_S).exp()
+    }
+
+    fn note_asked(&mut self, units: f64, now: LocalTime) {
+        self.asked_per_s = self.asked(now) + units / DEMAND_MEMORY_S;
+        self.asked_at = now;
+    }
+}
+
+/// What this VM tells of one account.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AccountFigures {
+    /// Units admitted here since the process started.
+    pub admitted: f64,
+    /// Units asked here a second.
+    pub asked_per_s: f64,
+    /// Level of this VM's copy of the bucket.
+    pub level: f64,
 }
 
 /// Buckets of all accounts at one VM.
@@ -31,6 +77,8 @@
     accounts: FnvHashMap<AccountId, AccountUse>,
     /// Part of the rate that the VMs in contact may use together.
     refill_part: f64,
+    /// Units asked a second at the other VMs.
+    asked_elsewhere: FnvHashMap<AccountId, f64>,
 }
 
 impl QuotaLedger {
@@ -40,6 +88,7 @@
         Self {
             accounts: FnvHashMap::default(),
             refill_part: 1.0,
+            asked_elsewhere: FnvHashMap::default(),
         }
     }
 
@@ -60,16 +109,34 @@
             return QuotaVerdict::Within;
         }
         let part = self.refill_part;
+        let elsewhere = self.asked_elsewhere.get(&policy.id).copied().unwrap_or(0.0);
         let account = self
             .accounts
             .entry(policy.id.clone())
-            .or_insert_with(|| AccountUse {
-                bucket: AccountBucket::new(policy.rate_per_s, policy.burst, now),
-                admitted: 0.0,
-            });
+            .or_insert_with(|| AccountUse::new(policy, now));
+        account.note_asked(units, now);
         account.bucket.refill(part, now);
         account.bucket.set_quota(policy.rate_per_s, policy.burst);
+        let own = account.asked(now);
+        let is_heavy = own + elsewhere > HEAVY_SHARE * policy.rate_per_s;
+        // While demand is heavy, peers' use is known too late: each VM keeps to
+        // its part of the demand.
+        let fraction = if is_heavy {
+            own / (own + elsewhere)
+        } else {
+            1.0
+        };
+        let share_burst = (policy.burst * fraction).max(SHARE_REQUESTS * units);
+        account
+            .share
+            .set_quota(policy.rate_per_s * fraction, share_burst);
+        account.share.refill(part, now);
+        if account.share.level() < units.min(share_burst) {
+            let retry_after = account.share.time_until(units);
+            return QuotaVerdict::Over { retry_after };
+        }
         if account.bucket.take(units) {
+            account.share.take(units);
             account.admitted += units;
             return QuotaVerdict::Within;
         }
@@ -81,6 +148,7 @@
     pub fn refund(&mut self, id: &AccountId, units: f64) {
         if let Some(account) = self.accounts.get_mut(id) {
             account.bucket.give_back(units);
+            account.share.give_back(units);
             account.admitted -= units;
         }
     }
@@ -94,22 +162,29 @@
         }
     }
 
+    /// Notes what is asked at the other VMs.
+    pub fn set_asked_elsewhere(&mut self, asked: FnvHashMap<AccountId, f64>) {
+        self.asked_elsewhere = asked;
+    }
+
     /// Takes over a peer's level when this VM has just started.
     pub fn adopt(&mut self, policy: &AccountPolicy, level: f64, now: LocalTime) {
-        let account = self
-            .accounts
+        self.accounts
             .entry(policy.id.clone())
-            .or_insert_with(|| AccountUse {
-                bucket: AccountBucket::new(policy.rate_per_s, policy.burst, now),
-                admitted: 0.0,
-            });
-        account.bucket.lower_to(level);
+            .or_insert_with(|| AccountUse::new(policy, now))
+            .bucket
+            .lower_to(level);
     }
 
-    /// Returns each account with the units admitted here and the bucket's level.
-    pub fn admitted(&self) -> impl Iterator<Item = (&AccountId, f64, f64)> {
-        self.accounts
-            .iter()
-            .map(|(id, account)| (id, account.admitted, account.bucket.level()))
+    /// Returns the figures of each account.
+    pub fn figures(&self, now: LocalTime) -> impl Iterator<Item = (&AccountId, AccountFigures)> {
+        self.accounts.iter().map(move |(id, account)| {
+            let figures = AccountFigures {
+                admitted: account.admitted,
+                asked_per_s: account.asked(now),
+                level: account.bucket.level(),
+            };
+            (id, figures)
+        })
     }
 }
--- a/crates/clementinepond_dispatch/tests/lease.rs
+++ b/crates/clementinepond_dispatch/tests/lease.rs
@@ -36,6 +36,7 @@
     lease.reduce(
         LeaseEvent::Tick {
             holder_heard: false,
+            head_start: TimeSpan::ZERO,
         },
         now,
     )
--- a/crates/clementinepond_entry/src/duty/lease_task.rs
+++ b/crates/clementinepond_entry/src/duty/lease_task.rs
@@ -18,16 +18,20 @@
 const TICK: TimeSpan = TimeSpan::from_millis(100);
 /// Head start of the first VM in line over the last.
 const STAGGER_RANGE_MS: u64 = 900;
+/// Peers for which the head starts are spread over that range; more peers need
+/// more room, since each try is a call of the store.
+const STAGGER_FLEET: u64 = 20;
 
 /// Keeps or pursues the lease until the VM stops.
 pub(crate) async fn run_lease(node: Rc<EntryNode>, stop: CancellationToken) {
     let settings = node.settings();
     let stagger = rendezvous_weight(0, settings.vm.as_str()) % STAGGER_RANGE_MS;
+    let first = TimeSpan::from_millis(stagger);
     let lease = DutyLease::new(
         settings.vm.clone(),
         node.incarnation,
         settings.orders.holder_gap(),
-        TimeSpan::from_millis(stagger),
+        first,
         BootClock::now(),
     );
     node.state.borrow_mut().lease = Some(lease);
@@ -38,8 +42,16 @@
             () = tokio::time::sleep(TICK.duration()) => {}
         }
         let now = BootClock::now();
-        let holder_heard = node.state.borrow().peers.duty_holder(now).is_some();
-        let effects = reduce(&node, LeaseEvent::Tick { holder_heard }, now);
+        let (holder_heard, peers) = {
+            let state = node.state.borrow();
+            (state.hears_holder(now), state.peers.contact(now).1 as u64)
+        };
+        let head_start = first.fraction(peers.max(STAGGER_FLEET), STAGGER_FLEET);
+        let tick = LeaseEvent::Tick {
+            holder_heard,
+            head_start,
+        };
+        let effects = reduce(&node, tick, now);
         carry_out(&node, &mut client, effects).await;
     }
 }
--- a/crates/clementinepond_entry/src/duty/order_task.rs
+++ b/crates/clementinepond_entry/src/duty/order_task.rs
@@ -170,7 +170,7 @@
     };
     news.fence = fence;
     news.number = number;
-    node.take_placement(news.clone(), now);
+    node.take_placement(news.clone(), None, now);
     node.broadcast(PeerMessage::Placement(Box::new(news)));
 }
 
--- a/crates/clementinepond_entry/src/node/contact.rs
+++ b/crates/clementinepond_entry/src/node/contact.rs
@@ -69,20 +69,17 @@
 
     /// Writes this VM's regular news.
     pub(crate) fn own_news(&self, number: u64, now: LocalTime) -> PeerNews {
-        let has_store = self.has_store(now);
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
         state
             .ejected_here
             .retain(|_, at| now.since(*at) < EJECTION_NEWS);
-        let accounts = state
-            .quotas
-            .admitted()
-            .map(|(id, admitted, level)| AccountNews {
-                account: id.clone(),
-                admitted,
-                level,
-            });
+        let accounts = state.quotas.figures(now).map(|(id, figures)| AccountNews {
+            account: id.clone(),
+            admitted: figures.admitted,
+            asked_per_s: figures.asked_per_s,
+            level: figures.level,
+        });
         PeerNews {
             incarnation: self.incarnation,
             number,
@@ -92,7 +89,9 @@
                 .as_ref()
                 .map_or(0, |table| table.policy().version),
             directory: state.endpoint_revision,
-            has_store,
+            has_store: state.failing_kinds == 0,
+            store_age_ms: u32::try_from(now.since(state.store_answered_at).millis())
+                .unwrap_or(u32::MAX),
             duty: state.lease.as_ref().and_then(|lease| lease.held_fence(now)),
             accounts: accounts.collect(),
             loads: state.loads.news(),
@@ -157,6 +156,24 @@
         }
     }
 
+    /// Sends a message to the peers of this data centre.
+    pub(crate) fn broadcast_home(&self, message: PeerMessage) {
+        let home = self.settings().data_centre.clone();
+        let Some(socket) = self.socket.get() else {
+            return;
+        };
+        let Some(bytes) = socket.encode(message) else {
+            return;
+        };
+        let state = self.state.borrow();
+        let is_home = |news: &PeerNews| news.data_centre == home;
+        for (_, peer) in state.peers.all() {
+            if peer.news.as_deref().is_some_and(is_home) {
+                socket.send(&bytes, peer.address);
+            }
+        }
+    }
+
     /// Sends a message to every peer.
     pub(crate) fn broadcast(&self, message: PeerMessage) {
         let Some(socket) = self.socket.get() else {
@@ -190,5 +207,7 @@
         }
         let (heard, known) = state.peers.contact(now);
         state.quotas.set_contact(heard, known, now);
+        let asked = state.peers.asked(now);
+        state.quotas.set_asked_elsewhere(asked);
     }
 }
--- a/crates/clementinepond_entry/src/node/entry_node.rs
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -57,6 +57,8 @@
     /// Measured time of one request, in milliseconds.
     pub(crate) work_ms: FnvHashMap<EndpointId, f64>,
     pub(crate) store_answered_at: LocalTime,
+    /// Kinds whose calls of the store fail now.
+    pub(crate) failing_kinds: u32,
     /// State towards the lease of the placement duty.
     pub(crate) lease: Option<DutyLease>,
     /// Placement of each service while this VM holds the duty.
@@ -104,6 +106,7 @@
             paces: FnvHashMap::default(),
             work_ms: FnvHashMap::default(),
             store_answered_at: LocalTime::ORIGIN,
+            failing_kinds: 0,
             lease: None,
             planners: FnvHashMap::default(),
             ejected_here: FnvHashMap::default(),
--- a/crates/clementinepond_entry/src/node/fleet_state.rs
+++ b/crates/clementinepond_entry/src/node/fleet_state.rs
@@ -4,12 +4,15 @@
 use crate::clock::BootClock;
 use clementinepond_dispatch::directory::EndpointChange;
 use clementinepond_dispatch::ledger::EndpointKey;
+use clementinepond_dispatch::peer::{EntryChange, EntryNews, PeerMessage, SMALL_FLEET};
 use clementinepond_dispatch::table::RouteTable;
 use clementinepond_platform::{StoreObject, StorePage, read_configuration, read_endpoint};
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
 use serde_json::Value;
 use std::rc::Rc;
 
+/// Changes of entries in one datagram at most.
+const ENTRIES_A_DATAGRAM: usize = 24;
 /// Age of the store's last answer up to which the VM counts as in contact.
 const CONTACT_AGE: TimeSpan = TimeSpan::from_millis(4_200);
 
@@ -54,14 +57,121 @@
         if is_list {
             self.replace_endpoints(page, source, now);
         } else {
+            self.spread_entries(&page.objects);
             for object in page.objects {
+                let revision = object.revision;
                 self.take_endpoint(object, source, now);
+                let mut state = self.state.borrow_mut();
+                state.endpoint_revision = state.endpoint_revision.max(revision);
             }
         }
         self.placement_changed.notify_waiters();
         self.duty_due.notify_one();
     }
 
+    /// Tells the VMs of this data centre of changes, if that is this VM's task.
+    fn spread_entries(&self, objects: &[StoreObject]) {
+        let now = BootClock::now();
+        let settings = self.settings();
+        let after = {
+            let state = self.state.borrow();
+            let is_small = state.peers.contact(now).1 < SMALL_FLEET;
+            let rank = state
+                .peers
+                .watch_rank(&settings.vm, &settings.data_centre, now);
+            if is_small || rank > 0 {
+                return;
+            }
+            state.endpoint_revision
+        };
+        let mut after = after;
+        for batch in objects.chunks(ENTRIES_A_DATAGRAM) {
+            let changes = batch.iter().map(|object| EntryChange {
+                name: object.name.clone(),
+                revision: object.revision,
+                spec: (!object.is_deleted).then(|| object.spec.to_string().into()),
+            });
+            let news = EntryNews {
+                after,
+                changes: changes.collect(),
+            };
+            after = batch
+                .iter()
+                .map(|object| object.revision)
+                .fold(after, u64::max);
+            self.broadcast_home(PeerMessage::Entries(news));
+        }
+    }
+
+    /// Takes over what a peer knows: changed entries, the names of all, and the
+    /// revision of the newest change.
+    pub(crate) fn take_snapshot(
+        &self,
+        changed: Vec<StoreObject>,
+        names: &[Box<str>],
+        revision: u64,
+    ) {
+        let now = BootClock::now();
+        for object in changed {
+            self.take_endpoint(object, "peer", now);
+        }
+        let gone: Vec<Box<str>> = {
+            let state = self.state.borrow();
+            let is_gone = |(name, (known, _)): &(&Box<str>, &(u64, Value))| {
+                *known <= revision && !names.contains(*name)
+            };
+            let missing = state.endpoint_specs.iter().filter(is_gone);
+            missing.map(|(name, _)| name.clone()).collect()
+        };
+        for name in gone {
+            let object = StoreObject {
+                name,
+                revision,
+                is_deleted: true,
+                spec: Value::Null,
+            };
+            self.take_endpoint(object, "peer", now);
+        }
+        let mut state = self.state.borrow_mut();
+        state.endpoint_revision = state.endpoint_revision.max(revision);
+        drop(state);
+        self.placement_changed.notify_waiters();
+        self.duty_due.notify_one();
+    }
+
+    /// Takes over changes that a watching VM tells of.
+    pub(crate) fn take_entry_news(&self, news: EntryNews) {
+        let now = BootClock::now();
+        let known = self.state.borrow().endpoint_revision;
+        let mut newest = known;
+        for change in news.changes {
+            newest = newest.max(change.revision);
+            let spec = match change.spec.as_deref().map(serde_json::from_str).transpose() {
+                Ok(spec) => spec,
+                Err(error) => {
+                    log::warn!(
+                        "event=entry_unreadable endpoint={} error=\"{error}\"",
+                        change.name
+                    );
+                    continue;
+                }
+            };
+            let object = StoreObject {
+                name: change.name,
+                revision: change.revision,
+                is_deleted: spec.is_none(),
+                spec: spec.unwrap_or_default(),
+            };
+            self.take_endpoint(object, "peer", now);
+        }
+        // After a gap the revision stays, which makes this VM ask for the rest.
+        if news.after <= known {
+            self.state.borrow_mut().endpoint_revision = newest;
+        }
+        self.placement_changed.notify_waiters();
+        self.duty_due.notify_one();
+    }
+
     fn replace_endpoints(&self, page: StorePage, source: &str, now: LocalTime) {
         let mut entries = Vec::new();
         let mut state = self.state.borrow_mut();
@@ -85,10 +195,6 @@
             entries.len(),
             page.revision
         );
-        if source == "peer" {
-            // A peer's list may reflect deletions that no entry shows.
-            state.endpoint_revision = state.endpoint_revision.max(page.revision);
-        }
         state.directory.replace(entries, page.revision, now);
     }
 
@@ -98,7 +204,6 @@
         if known.is_some_and(|(revision, _)| *revision >= object.revision) {
             return;
         }
-        state.endpoint_revision = state.endpoint_revision.max(object.revision);
         if object.is_deleted {
             state.endpoint_specs.remove(&object.name);
             log::info!(
@@ -144,22 +249,39 @@
 
     /// Notes that the path to the store broke or works again.
     pub(crate) fn note_store(&self, is_back: bool, kind: &str) {
+        let mut state = self.state.borrow_mut();
         if is_back {
-            self.state
-                .borrow_mut()
-                .directory
-                .note_store_return(BootClock::now());
+            state.failing_kinds = state.failing_kinds.saturating_sub(1);
+            state.directory.note_store_return(BootClock::now());
             log::info!("event=store_regained kind={kind}");
+        } else {
+            state.failing_kinds += 1;
         }
     }
 
+    /// Tells whether this VM watches the store itself.
+    pub(crate) fn is_watcher(&self, now: LocalTime) -> bool {
+        let settings = self.settings();
+        let state = self.state.borrow();
+        state
+            .peers
+            .is_watcher(&settings.vm, &settings.data_centre, now)
+    }
+
     pub(crate) fn note_store_answer(&self, now: LocalTime) {
         self.state.borrow_mut().store_answered_at = now;
     }
 
-    /// Tells whether the store answered lately.
+    /// Tells whether the store lately answered this VM or one that tells it of
+    /// changes.
     pub(crate) fn has_store(&self, now: LocalTime) -> bool {
-        now.since(self.state.borrow().store_answered_at) < CONTACT_AGE
+        let state = self.state.borrow();
+        let is_fresh = |age: TimeSpan| age < CONTACT_AGE;
+        is_fresh(now.since(state.store_answered_at))
+            || state.peers.heard(now).any(|(_, peer)| {
+                let age = peer.news.as_ref().map(|news| u64::from(news.store_age_ms));
+                age.is_some_and(|age| is_fresh(TimeSpan::from_millis(age)))
+            })
     }
 
     /// Drops endpoints that are gone for good.
--- a/crates/clementinepond_entry/src/node/placement.rs
+++ b/crates/clementinepond_entry/src/node/placement.rs
@@ -16,6 +16,9 @@
 /// Time for which an endpoint's word that it lacks a model counts; its entry
 /// follows within a heartbeat.
 const ABSENCE_SPAN: TimeSpan = TimeSpan::from_millis(1_000);
+/// Silence after which the holder's news of placement no longer show that it
+/// is there; it sends some twice a second.
+const HOLDER_SILENCE: TimeSpan = TimeSpan::from_millis(1_500);
 /// Time between two words to the holder about an adapter in use.
 const USE_NEWS: TimeSpan = TimeSpan::from_millis(1_000);
 /// Time after which an unanswered wish for an adapter is sent again.
@@ -29,6 +32,9 @@
     adapters: FnvHashSet<AdapterPlace>,
     closing: FnvHashSet<(EndpointKey, EndpointKey)>,
     heard_at: LocalTime,
+    /// Whether the news came from another VM.
+    is_remote: bool,
+    holder: Option<VmId>,
     /// Adapters at each endpoint.
     counts: FnvHashMap<EndpointKey, usize>,
     /// Models that an endpoint said it does not hold, and until when that counts.
@@ -39,7 +45,12 @@
 
 impl PlacementKnowledge {
     /// Takes over news; false when they are out of date.
-    pub(crate) fn take(&mut self, news: PlacementNews, now: LocalTime) -> bool {
+    pub(crate) fn take(
+        &mut self,
+        news: PlacementNews,
+        from: Option<&VmId>,
+        now: LocalTime,
+    ) -> bool {
         if (news.fence, news.number) < (self.fence, self.number) {
             return false;
         }
@@ -52,6 +63,8 @@
         }
         self.closing = news.closing.into_iter().collect();
         self.heard_at = now;
+        self.is_remote = from.is_some();
+        self.holder = from.cloned();
         true
     }
 
@@ -115,15 +128,21 @@
             .is_some_and(|lease| lease.fence(now).is_some())
     }
 
+    /// Tells whether another VM shows that it holds the placement duty.
+    pub(crate) fn hears_holder(&self, now: LocalTime) -> bool {
+        let is_told = now.since(self.placement.heard_at) < HOLDER_SILENCE;
+        (is_told && self.placement.is_remote) || self.peers.duty_holder(now).is_some()
+    }
+
     /// Tells whether this VM or a heard peer holds the placement duty.
     pub(crate) fn has_duty_holder(&self, now: LocalTime) -> bool {
-        self.holds_duty(now) || self.peers.duty_holder(now).is_some()
+        self.holds_duty(now) || self.hears_holder(now)
     }
 }
 
 impl EntryNode {
-    pub(crate) fn take_placement(&self, news: PlacementNews, now: LocalTime) {
-        if self.state.borrow_mut().placement.take(news, now) {
+    pub(crate) fn take_placement(&self, news: PlacementNews, from: Option<&VmId>, now: LocalTime) {
+        if self.state.borrow_mut().placement.take(news, from, now) {
             self.placement_changed.notify_waiters();
         }
     }
@@ -228,10 +247,9 @@
         self.take_adapter_wanted(&me, endpoint, &target.model, adapter, now);
         let holder = {
             let state = self.state.borrow();
-            state
-                .peers
-                .duty_holder(now)
-                .and_then(|(vm, _)| state.peers.address(vm))
+            let heard = state.peers.duty_holder(now).map(|(vm, _)| vm);
+            let told = state.placement.holder.as_ref();
+            heard.or(told).and_then(|vm| state.peers.address(vm))
         };
         if let Some(address) = holder {
             let message = PeerMessage::AdapterWanted {
--- a/crates/clementinepond_entry/src/peer/snapshot.rs
+++ b/crates/clementinepond_entry/src/peer/snapshot.rs
@@ -5,8 +5,9 @@
 
 use crate::clock::BootClock;
 use crate::http::{HttpLine, tune_socket};
-use crate::node::EntryNode;
-use clementinepond_platform::{StoreObject, StorePage};
+use crate::node::{EntryNode, increment};
+use crate::store::{StoreClient, WatchTarget};
+use clementinepond_platform::{CONFIGURATION_KIND, CONFIGURATION_NAME, StoreObject};
 use clementinepond_types::{TimeSpan, VmId};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -15,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::convert::Infallible;
@@ -42,7 +44,10 @@
     configuration: Option<Value>,
     /// Revision of the newest change of an endpoint's entry.
     revision: u64,
+    /// Entries that changed after the revision that was asked for.
     endpoints: Vec<EndpointRecord>,
+    /// Names of all entries.
+    names: Vec<Box<str>>,
     vms: Vec<(VmId, SocketAddrV4)>,
 }
 
@@ -64,7 +69,8 @@
         let node = Rc::clone(&node);
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request: Request<Incoming>| {
-                let response = answer(&node, request.uri().path());
+                let uri = request.uri();
+                let response = answer(&node, uri.path(), uri.query().unwrap_or(""));
                 std::future::ready(Ok::<_, Infallible>(response))
             });
             let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -75,9 +81,9 @@
     }
 }
 
-fn answer(node: &EntryNode, path: &str) -> Response<Full<Bytes>> {
+fn answer(node: &EntryNode, path: &str, query: &str) -> Response<Full<Bytes>> {
     let (status, body) = if path == SNAPSHOT_PATH {
-        match serde_json::to_vec(&snapshot(node)) {
+        match serde_json::to_vec(&snapshot(node, query)) {
             Ok(body) => (StatusCode::OK, body),
             Err(error) => {
                 log::error!("event=snapshot_unwritable error=\"{error}\"");
@@ -92,11 +98,20 @@
     response
 }
 
-fn snapshot(node: &EntryNode) -> FleetSnapshot {
+fn snapshot(node: &EntryNode, query: &str) -> FleetSnapshot {
+    let number = |key: &str| -> u64 {
+        query
+            .split('&')
+            .find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='))
+            .and_then(|value| value.parse().ok())
+            .unwrap_or(0)
+    };
+    let (since, version) = (number("since"), number("configuration"));
     let state = node.state.borrow();
     let endpoints = state
         .endpoint_specs
         .iter()
+        .filter(|(_, (revision, _))| *revision > since)
         .map(|(name, (revision, spec))| EndpointRecord {
             name: name.clone(),
             revision: *revision,
@@ -106,16 +121,24 @@
         .peers
         .all()
         .map(|(vm, peer)| (vm.clone(), peer.address));
+    let is_newer = state
+        .table
+        .as_ref()
+        .is_some_and(|table| table.policy().version > version);
     FleetSnapshot {
-        configuration: state.configuration_spec.as_deref().cloned(),
+        names: state.endpoint_specs.keys().cloned().collect(),
+        configuration: is_newer
+            .then(|| state.configuration_spec.as_deref().cloned())
+            .flatten(),
         revision: state.endpoint_revision,
         endpoints: endpoints.collect(),
         vms: vms.collect(),
     }
 }
 
-/// Takes snapshots from peers that know more, until the VM ends.
+/// Takes what peers know more, until the VM ends.
 pub(crate) async fn follow_peers(node: Rc<EntryNode>, stop: CancellationToken) {
+    let mut client = StoreClient::new(node.settings().store.address);
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
@@ -124,25 +147,42 @@
         if node.peer_with_more(BootClock::now()).is_none() {
             continue;
         }
-        tokio::time::sleep(PATIENCE.duration()).await;
+        let jitter = rand::rng().random_range(100..200);
+        tokio::time::sleep(PATIENCE.fraction(jitter, 100).duration()).await;
+        if node.is_peer_ahead(WatchTarget::Configuration) && !node.is_watcher(BootClock::now()) {
+            read_configuration(&node, &mut client).await;
+        }
         let Some(address) = node.peer_with_more(BootClock::now()) else {
             continue;
         };
-        if let Some(snapshot) = fetch(address).await {
+        if let Some(snapshot) = fetch(&node, address).await {
             take(&node, snapshot, address);
         }
     }
 }
 
-async fn fetch(address: SocketAddrV4) -> Option<FleetSnapshot> {
+/// Reads the configuration from the store, which bears it better than a peer.
+async fn read_configuration(node: &EntryNode, client: &mut StoreClient) {
+    increment(&node.stats.store_calls);
+    match client.read(CONFIGURATION_KIND, CONFIGURATION_NAME).await {
+        Ok(Some(object)) => node.offer_configuration(&object.spec, "store"),
+        Ok(None) => {}
+        Err(error) => log::info!("event=configuration_unread error=\"{error}\""),
+    }
+}
+
+async fn fetch(node: &EntryNode, address: SocketAddrV4) -> Option<FleetSnapshot> {
+    let path = {
+        let state = node.state.borrow();
+        let version = state
+            .table
+            .as_ref()
+            .map_or(0, |table| table.policy().version);
+        let since = state.endpoint_revision;
+        format!("{SNAPSHOT_PATH}?since={since}&configuration={version}")
+    };
     let mut line = HttpLine::new(address);
-    let call = line.call(
-        Method::GET,
-        SNAPSHOT_PATH,
-        HeaderMap::new(),
-        Vec::new(),
-        CALL_LIMIT,
-    );
+    let call = line.call(Method::GET, &path, HeaderMap::new(), Vec::new(), CALL_LIMIT);
     let reply = match call.await {
         Ok(reply) => reply,
         Err(error) => {
@@ -168,21 +208,19 @@
         node.offer_configuration(spec, "peer");
     }
     let known = node.state.borrow().endpoint_revision;
-    let revision = snapshot.revision;
-    if revision <= known {
+    if snapshot.revision <= known {
         return;
     }
-    log::info!("event=snapshot_taken peer={address} revision={revision} known={known}");
+    log::info!(
+        "event=snapshot_taken peer={address} revision={} known={known} entries={}",
+        snapshot.revision,
+        snapshot.endpoints.len()
+    );
     let objects = snapshot.endpoints.into_iter().map(|one| StoreObject {
         name: one.name,
         revision: one.revision,
         is_deleted: false,
         spec: one.spec,
     });
-    let page = StorePage {
-        objects: objects.collect(),
-        has_more: false,
-        revision,
-    };
-    node.take_endpoints(page, true, "peer");
+    node.take_snapshot(objects.collect(), &snapshot.names, snapshot.revision);
 }
--- a/crates/clementinepond_entry/src/peer/socket.rs
+++ b/crates/clementinepond_entry/src/peer/socket.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::BootClock;
 use crate::node::EntryNode;
-use clementinepond_dispatch::peer::{PeerEnvelope, PeerMessage};
+use clementinepond_dispatch::peer::{PeerEnvelope, PeerMessage, SMALL_FLEET};
 use clementinepond_types::{LocalTime, TimeSpan, VmId};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
@@ -11,9 +11,6 @@
 
 /// Largest datagram.
 const DATAGRAM_LIMIT_BYTES: usize = 60_000;
-/// Peers up to which news are sent at the set interval; beyond, the interval
-/// grows with the fleet so that a VM's datagrams a second stay bounded.
-const SMALL_FLEET: u64 = 12;
 
 /// Socket for messages to peers.
 #[derive(Debug)]
@@ -96,7 +93,8 @@
     let now = BootClock::now();
     match envelope.message {
         PeerMessage::News(news) => node.take_news(&from, address, news, started_at, now),
-        PeerMessage::Placement(news) => node.take_placement(*news, now),
+        PeerMessage::Placement(news) => node.take_placement(*news, Some(&from), now),
+        PeerMessage::Entries(news) => node.take_entry_news(news),
         PeerMessage::AdapterReady(place) => node.take_adapter_ready(place),
         PeerMessage::AdapterWanted {
             endpoint,
@@ -121,8 +119,11 @@
             state.peers.all().map(|(_, peer)| peer.address).collect()
         };
         let base = node.settings().peers.interval_ms as u64;
-        let fleet = (peers.len() as u64 + 1).max(SMALL_FLEET);
-        let interval = TimeSpan::from_millis(base * fleet / SMALL_FLEET);
+        // Beyond a small fleet the interval grows, so that a VM's datagrams a
+        // second stay bounded.
+        let small = SMALL_FLEET as u64;
+        let fleet = (peers.len() as u64 + 1).max(small);
+        let interval = TimeSpan::from_millis(base * fleet / small);
         tokio::select! {
             () = stop.cancelled() => return,
             () = tokio::time::sleep(interval.duration()) => {}
--- a/crates/clementinepond_entry/src/store/presence.rs
+++ b/crates/clementinepond_entry/src/store/presence.rs
@@ -15,11 +15,11 @@
 use tokio_util::sync::CancellationToken;
 
 /// Time between two listings of the VMs; peers spread what they know much faster.
-const LIST_INTERVAL: TimeSpan = TimeSpan::from_secs(8);
+const LIST_INTERVAL: TimeSpan = TimeSpan::from_secs(25);
 /// Time between the first listings, while VMs start.
 const START_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
 /// Listings made at the shorter interval.
-const START_LISTINGS: u32 = 5;
+const START_LISTINGS: u32 = 3;
 
 /// Entry of one VM.
 #[derive(Debug, Serialize, Deserialize)]
@@ -36,7 +36,7 @@
         if !is_written {
             is_written = write_entry(&node, &mut client).await;
         }
-        match client.list(VM_KIND, listings > START_LISTINGS).await {
+        match client.list(VM_KIND, listings > 0).await {
             Ok(page) => {
                 listings += 1;
                 for object in page.objects {
@@ -45,7 +45,7 @@
             }
             Err(error) => log::debug!("event=vm_list_failed error=\"{error}\""),
         }
-        let interval = if listings <= START_LISTINGS && !(is_written && listings > 2) {
+        let interval = if listings < START_LISTINGS || !is_written {
             START_INTERVAL
         } else {
             LIST_INTERVAL
--- a/crates/clementinepond_entry/src/store/watch.rs
+++ b/crates/clementinepond_entry/src/store/watch.rs
@@ -5,7 +5,7 @@
 
 use super::{StoreClient, StoreFailure};
 use crate::clock::BootClock;
-use crate::node::EntryNode;
+use crate::node::{EntryNode, increment};
 use clementinepond_platform::StorePage;
 use clementinepond_types::TimeSpan;
 use rand::RngExt;
@@ -14,6 +14,10 @@
 
 /// Time that a watch waits; a store that went silent is noticed after it.
 const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(3_000);
+/// Time between two looks at whether this VM is to watch.
+const ROLE_CHECK: TimeSpan = TimeSpan::from_millis(250);
+/// Time for which changes collect before the next call fetches them.
+const BATCH_PAUSE: TimeSpan = TimeSpan::from_millis(120);
 /// First pause after a failed call.
 const FIRST_PAUSE_MS: u64 = 80;
 /// Longest pause after failed calls; entries that lapsed are back two seconds
@@ -45,6 +49,18 @@
     let mut pause_ms = FIRST_PAUSE_MS;
     let mut failing_since = None;
     while !stop.is_cancelled() {
+        if revision.is_some() && !node.is_watcher(BootClock::now()) {
+            // What a follower remembers of the store's history grows old.
+            if failing_since.take().is_some() {
+                node.note_store(true, target.kind());
+            }
+            client.reset();
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = tokio::time::sleep(ROLE_CHECK.duration()) => continue,
+            }
+        }
+        increment(&node.stats.store_calls);
         let called = async {
             match revision {
                 None => client
@@ -72,8 +88,12 @@
                 }
                 pause_ms = FIRST_PAUSE_MS;
                 revision = Some(page.revision.max(revision.unwrap_or(0)));
+                let has_news = !page.objects.is_empty();
                 take_page(&node, target, page, is_list);
                 node.note_store_answer(BootClock::now());
+                if has_news && target == WatchTarget::Endpoints {
+                    tokio::time::sleep(BATCH_PAUSE.duration()).await;
+                }
             }
             Err(StoreFailure::Gone) => {
                 log::info!("event=watch_expired kind={} action=list", target.kind());
