--- a/crates/clementinepond/src/command/command_line.rs
+++ b/crates/clementinepond/src/command/command_line.rs
@@ -18,6 +18,8 @@
 #[cfg(feature = "suite")]
 use super::serve::ServeOptions;
 #[cfg(feature = "suite")]
+use super::soak::SoakCommand;
+#[cfg(feature = "suite")]
 use super::stand_in::StandInOptions;
 #[cfg(feature = "suite")]
 use super::status::StatusOptions;
@@ -62,6 +64,10 @@
         help = "run a stand-in: platform, engine or service"
     )]
     StandIn(StandInOptions),
+    /// Play faults.
+    #[cfg(feature = "suite")]
+    #[options(help = "play seeded faults against entry VMs and check what callers get")]
+    Soak(SoakCommand),
     /// Send caller traffic.
     #[cfg(feature = "suite")]
     #[options(help = "send caller traffic, open loop")]
--- a/crates/clementinepond/src/command/mod.rs
+++ b/crates/clementinepond/src/command/mod.rs
@@ -25,6 +25,8 @@
 #[cfg(feature = "suite")]
 mod serve;
 #[cfg(feature = "suite")]
+mod soak;
+#[cfg(feature = "suite")]
 mod stand_in;
 #[cfg(feature = "suite")]
 mod status;
--- a/crates/clementinepond/src/command/run.rs
+++ b/crates/clementinepond/src/command/run.rs
@@ -3,7 +3,7 @@
 use super::command_line::Command;
 use super::{CommandError, CommandLine, entry};
 #[cfg(feature = "suite")]
-use super::{check, demo, digest, load, measure, model, reference, serve, stand_in, status};
+use super::{check, demo, digest, load, measure, model, reference, serve, soak, stand_in, status};
 use gumdrop::Options;
 use std::process::ExitCode;
 
@@ -25,6 +25,8 @@
         #[cfg(feature = "suite")]
         Some(Command::StandIn(options)) => stand_in::run(&options),
         #[cfg(feature = "suite")]
+        Some(Command::Soak(options)) => soak::run(&options),
+        #[cfg(feature = "suite")]
         Some(Command::Load(options)) => load::run(&options),
         #[cfg(feature = "suite")]
         Some(Command::Model(options)) => model::run(&options),
--- /dev/null
+++ b/crates/clementinepond/src/command/soak.rs
@@ -0,0 +1,99 @@
+//! `soak`: plays seeded faults against real entry VMs.
+
+use super::CommandError;
+use clementinepond_soak::{SoakOptions, run_soak};
+use gumdrop::Options;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Options of `soak`.
+#[derive(Debug, Options)]
+pub(crate) struct SoakCommand {
+    /// Print help.
+    #[options(help = "print help")]
+    pub(crate) help: bool,
+    /// First seed.
+    #[options(no_short, meta = "SEED", default = "1", help = "first seed")]
+    pub(crate) first: u64,
+    /// Number of seeds.
+    #[options(no_short, meta = "N", default = "5", help = "number of seeds")]
+    pub(crate) seeds: u64,
+    /// Runs at once.
+    #[options(no_short, meta = "N", default = "2", help = "runs at once")]
+    pub(crate) jobs: usize,
+    /// Span of the faults.
+    #[options(
+        no_short,
+        meta = "S",
+        default = "4",
+        help = "seconds over which faults begin"
+    )]
+    pub(crate) seconds: u64,
+    /// Folder for logs.
+    #[options(
+        no_short,
+        meta = "DIR",
+        default = "target/soak",
+        help = "folder for settings and logs of the runs"
+    )]
+    pub(crate) output: PathBuf,
+}
+
+/// Runs the command.
+pub(crate) fn run(options: &SoakCommand) -> Result<ExitCode, CommandError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let broken = runtime.block_on(play(options))?;
+    println!("{} seeds, {broken} with a promise broken", options.seeds);
+    Ok(if broken == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+async fn play(options: &SoakCommand) -> Result<u64, CommandError> {
+    let program = std::env::current_exe()?;
+    let seeds: Vec<u64> = (options.first..options.first + options.seeds).collect();
+    let mut broken = 0;
+    for batch in seeds.chunks(options.jobs.max(1)) {
+        let mut runs = Vec::new();
+        for &seed in batch {
+            let options = SoakOptions {
+                seed,
+                span: Duration::from_secs(options.seconds),
+                program: program.clone(),
+                folder: options.output.join(seed.to_string()),
+            };
+            runs.push(tokio::spawn(async move { run_soak(&options).await }));
+        }
+        for run in runs {
+            let report = run
+                .await
+                .map_err(|error| CommandError::failed(&error.to_string()))?
+                .map_err(|error| CommandError::failed(&error.to_string()))?;
+            println!(
+                "seed={} calls={} served={} faults={} broken={}",
+                report.seed,
+                report.calls,
+                report.served,
+                report.faults.len(),
+                report.violations.len()
+            );
+            if report.violations.is_empty() {
+                continue;
+            }
+            broken += 1;
+            for line in report
+                .faults
+                .iter()
+                .chain(report.violations.iter().take(20))
+            {
+                println!("  {line}");
+            }
+        }
+    }
+    Ok(broken)
+}
--- a/crates/clementinepond_dispatch/src/lease/mod.rs
+++ b/crates/clementinepond_dispatch/src/lease/mod.rs
@@ -10,12 +10,14 @@
 use serde::{Deserialize, Serialize};
 
 /// Time for which one renewal gives authority.
-const SPAN: TimeSpan = TimeSpan::from_millis(1_600);
+pub const SPAN: TimeSpan = TimeSpan::from_millis(1_400);
 /// Part of the span at whose end the holder already stops, for the orders on
 /// their way.
 const STOP_MARGIN: TimeSpan = TimeSpan::from_millis(300);
 /// Time between renewals.
-const RENEWAL: TimeSpan = TimeSpan::from_millis(500);
+const RENEWAL: TimeSpan = TimeSpan::from_millis(450);
+/// Time between two looks at a lease that another VM may still hold.
+const LOOK: TimeSpan = TimeSpan::from_millis(100);
 /// Pause after a failed call.
 const RETRY_PAUSE: TimeSpan = TimeSpan::from_millis(250);
 /// Extra time over the endpoints' own gap between two holders.
@@ -61,6 +63,13 @@
         /// New revision.
         revision: u64,
     },
+    /// A VM says that its authority is over and when it gave its last order.
+    Lapsed {
+        /// The VM.
+        vm: VmId,
+        /// Moment of its last order.
+        last_order: LocalTime,
+    },
     /// Another update came first.
     Conflict(StoredLease),
     /// No answer came; the update may have taken effect.
@@ -112,6 +121,8 @@
     order_gap: TimeSpan,
     held: Option<HeldLease>,
     seen: Option<(StoredLease, LocalTime)>,
+    /// VM that said its authority is over, its last order, and when that was heard.
+    lapsed: Option<(VmId, LocalTime, LocalTime)>,
     calling_since: Option<LocalTime>,
     next_call: LocalTime,
     is_released: bool,
@@ -135,6 +146,7 @@
             order_gap,
             held: None,
             seen: None,
+            lapsed: None,
             calling_since: None,
             next_call: now + stagger,
             is_released: false,
@@ -171,6 +183,10 @@
                 self.note_read(stored, now)
             }
             LeaseEvent::Written { revision } => self.note_written(revision, now),
+            LeaseEvent::Lapsed { vm, last_order } => {
+                self.lapsed = Some((vm, last_order, now));
+                Vec::new()
+            }
             LeaseEvent::Conflict(stored) => {
                 self.calling_since = None;
                 self.next_call = now + RETRY_PAUSE;
@@ -237,8 +253,13 @@
                     .and_then(|record| record.holder.clone());
                 let is_mine = holder.as_ref() == Some(&self.me);
                 let is_free = holder.is_none() || is_mine;
-                if !is_free && now.since(*since) < SPAN {
-                    self.next_call = *since + SPAN;
+                // A holder that has said since the reading that its authority
+                // is over cannot have renewed it, or the update will fail.
+                let has_lapsed = self.lapsed.as_ref().is_some_and(|(vm, _, heard_at)| {
+                    holder.as_ref() == Some(vm) && heard_at > since
+                });
+                if !is_free && !has_lapsed && now.since(*since) < SPAN {
+                    self.next_call = now + LOOK;
                     return None;
                 }
                 let previous = previous_of(stored).filter(|previous| *previous != self.me);
@@ -322,7 +343,11 @@
         let order_from = if is_resumed {
             now
         } else {
-            now + self.order_gap + GAP_MARGIN
+            let last_order = match (&self.lapsed, &previous) {
+                (Some((vm, at, _)), Some(previous)) if vm == previous => *at,
+                _ => now,
+            };
+            now.max(last_order + self.order_gap + GAP_MARGIN)
         };
         self.held = Some(HeldLease {
             fence: revision,
--- a/crates/clementinepond_dispatch/src/peer/message.rs
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -59,6 +59,9 @@
     pub store_age_ms: u32,
     /// Fencing number, when the VM holds the placement duty.
     pub duty: Option<u64>,
+    /// Milliseconds since the VM's last order, when it held the duty and its
+    /// authority is over.
+    pub lapsed_order_age_ms: Option<u32>,
     /// Accounts.
     pub accounts: Vec<AccountNews>,
     /// Load put on endpoints.
@@ -89,7 +92,7 @@
     pub adapters: Vec<AdapterPlace>,
     /// Copies of models that are about to be unloaded: endpoint and model.
     pub closing: Vec<(EndpointKey, EndpointKey)>,
-    /// Models being loaded and the milliseconds until they are expected.
+    /// Models being loaded, and the milliseconds until they are expected.
     pub loading: Vec<(EndpointKey, u32)>,
 }
 
--- a/crates/clementinepond_dispatch/src/peer/peer_table.rs
+++ b/crates/clementinepond_dispatch/src/peer/peer_table.rs
@@ -173,6 +173,14 @@
             .max_by_key(|(_, fence)| *fence)
     }
 
+    /// Returns the time since a peer was last heard.
+    #[must_use]
+    pub fn age(&self, vm: &VmId, now: LocalTime) -> TimeSpan {
+        self.peers
+            .get(vm)
+            .map_or(FORGET_AFTER, |peer| now.since(peer.heard_at))
+    }
+
     /// Returns a peer's address.
     #[must_use]
     pub fn address(&self, vm: &VmId) -> Option<SocketAddrV4> {
--- a/crates/clementinepond_dispatch/src/place/choose.rs
+++ b/crates/clementinepond_dispatch/src/place/choose.rs
@@ -5,6 +5,9 @@
 
 /// Work a copy above which a model deserves another one, in engines.
 const CROWDED_WORK: f64 = 0.22;
+/// The same for a model with one copy, whose loss would stop its requests for
+/// a whole load.
+const LONE_WORK: f64 = 0.08;
 /// Share of the crowded model's work a copy that a model giving up a copy may
 /// reach at most; keeps moves from going back and forth.
 const GIVE_UP_SHARE: f64 = 0.6;
@@ -42,7 +45,8 @@
             )),
             count => {
                 let crowding = model.work / count as f64;
-                (crowding > CROWDED_WORK).then_some((false, crowding, index))
+                let limit = if count == 1 { LONE_WORK } else { CROWDED_WORK };
+                (crowding > limit).then_some((false, crowding, index))
             }
         })
         .collect();
@@ -97,7 +101,8 @@
         let Some((unload, loss)) = make_room(view, engine, model, limit, serving) else {
             continue;
         };
-        let seconds = load_seconds(view, engine, model);
+        let span = load_time(engine, model, view.models[model].load_times);
+        let seconds = span.micros() as f64 / 1e6;
         let busy: f64 = engine
             .models
             .iter()
@@ -153,14 +158,15 @@
     (free >= needed).then_some((unload, loss))
 }
 
-fn load_seconds(view: &PlacementView, engine: &EngineView, model: usize) -> f64 {
-    let [store, disk, memory] = view.models[model].load_times;
-    let span = if engine.in_memory.contains(&model) {
+/// Returns the time that an engine needs to load a model, given the times from
+/// the weight store, from disk and from host memory.
+pub(super) fn load_time(engine: &EngineView, model: usize, times: [TimeSpan; 3]) -> TimeSpan {
+    let [store, disk, memory] = times;
+    if engine.in_memory.contains(&model) {
         memory
     } else if engine.on_disk.contains(&model) {
         disk
     } else {
         store
-    };
-    span.micros() as f64 / 1e6
+    }
 }
--- a/crates/clementinepond_dispatch/src/place/planner.rs
+++ b/crates/clementinepond_dispatch/src/place/planner.rs
@@ -1,7 +1,7 @@
 //! The holder's state: one order book an endpoint, the moves under way and
 //! the adapters that requests wait for.
 
-use super::choose::choose_move;
+use super::choose::{choose_move, load_time};
 use super::demand::work_of;
 use super::order::{EndpointOrder, EndpointStatus, OrderReply, SentOrder};
 use super::order_book::{AdapterPhase, HeldAdapter, OrderBook};
@@ -17,6 +17,8 @@
 /// Time between the announcement that a copy closes and its unload; covers
 /// the news' way to all VMs.
 const CLOSING_NOTICE: TimeSpan = TimeSpan::from_millis(300);
+/// Time that orders of a move take beside the load itself.
+const ORDER_TIME: TimeSpan = TimeSpan::from_millis(300);
 /// Time between two searches for moves.
 const MOVE_INTERVAL: TimeSpan = TimeSpan::from_millis(250);
 /// Moves started in one search at most.
@@ -81,6 +83,8 @@
     load: ModelId,
     from_store: bool,
     is_charged: bool,
+    /// Expected time of the load.
+    load_time: TimeSpan,
     unload_from: LocalTime,
 }
 
@@ -289,7 +293,13 @@
                 news.closing
                     .push((endpoint, EndpointKey::of(model.as_str())));
             }
-            news.loading.push((EndpointKey::of(task.load.as_str()), 0));
+            let ready_at = match self.books.get(id).and_then(|book| book.loading.as_ref()) {
+                Some((_, since)) => *since + task.load_time,
+                None => now.max(task.unload_from) + task.load_time + ORDER_TIME,
+            };
+            let millis = u32::try_from(now.until(ready_at).millis()).unwrap_or(u32::MAX);
+            news.loading
+                .push((EndpointKey::of(task.load.as_str()), millis));
         }
         news
     }
@@ -565,6 +575,7 @@
                 load: model.id.clone(),
                 from_store: chosen.from_store,
                 is_charged: false,
+                load_time: load_time(&view.engines[chosen.engine], chosen.load, model.load_times),
                 unload_from,
             };
             self.moves.insert(endpoint, task);
--- a/crates/clementinepond_entry/src/caller/relay.rs
+++ b/crates/clementinepond_entry/src/caller/relay.rs
@@ -19,6 +19,12 @@
 const NO_COPY_RETRY: TimeSpan = TimeSpan::from_millis(1_000);
 /// Time after which a caller may come back when an endpoint refused.
 const REFUSED_RETRY: TimeSpan = TimeSpan::from_millis(150);
+/// Part of a caller's time within which a copy that is being loaded is awaited.
+const COPY_WAIT_PARTS: (u64, u64) = (1, 2);
+/// Time by which a load may be late.
+const COPY_PATIENCE: TimeSpan = TimeSpan::from_millis(600);
+/// Shortest wait for a copy.
+const COPY_CHECK: TimeSpan = TimeSpan::from_millis(20);
 /// Endpoints tried without having been reached, at most.
 const UNREACHED_LIMIT: u32 = 4;
 /// Sends of one request to an endpoint that still loads its adapter, at most.
@@ -133,6 +139,7 @@
             };
             let picked = match self.node.pick(&query, request.engine()) {
                 Ok(picked) => picked,
+                Err(RefusalCause::NoCopy) if self.await_copy().await => continue,
                 Err(cause) => return Err(self.refuse(cause)),
             };
             if let Some(begun) = self.ask(picked).await? {
@@ -393,6 +400,28 @@
         self.node.await_adapter(&picked.id, target, limit).await
     }
 
+    /// Waits for a copy of the model that is being loaded, if it will be there
+    /// well before the caller leaves.
+    async fn await_copy(&self) -> bool {
+        let Some(target) = &self.request.profile.target else {
+            return false;
+        };
+        let model = EndpointKey::of(target.model.as_str());
+        let now = BootClock::now();
+        let left = now.until(self.request.deadline);
+        let latest = now + left.fraction(COPY_WAIT_PARTS.0, COPY_WAIT_PARTS.1);
+        let mut changed = std::pin::pin!(self.node.placement_changed.notified());
+        changed.as_mut().enable();
+        let expected = self.node.state.borrow().placement.expected_at(model);
+        let Some(expected) = expected.filter(|at| *at < latest && now < *at + COPY_PATIENCE) else {
+            return false;
+        };
+        let limit = now.until(expected + COPY_PATIENCE).max(COPY_CHECK);
+        // Whatever changed, the next choice sees it.
+        let _ = tokio::time::timeout(limit.duration(), changed).await;
+        true
+    }
+
     fn refuse(&self, cause: RefusalCause) -> OwnAnswer {
         match cause {
             RefusalCause::NoEndpoint => self.give_up("no_endpoint", NO_COPY_RETRY),
--- a/crates/clementinepond_entry/src/duty/order_task.rs
+++ b/crates/clementinepond_entry/src/duty/order_task.rs
@@ -190,6 +190,7 @@
     // A paused process may find its authority gone here.
     let reply = if node.duty_fence(BootClock::now()) == Some(sent.fence) {
         increment(&node.stats.orders);
+        node.state.borrow_mut().last_order = Some(BootClock::now());
         let call = line.call(Method::POST, order_path(), headers, body, ORDER_LIMIT);
         match call.await {
             Ok(answer) => read_order_reply(answer.status),
--- a/crates/clementinepond_entry/src/node/contact.rs
+++ b/crates/clementinepond_entry/src/node/contact.rs
@@ -3,6 +3,7 @@
 use super::EntryNode;
 use crate::clock::BootClock;
 use crate::store::WatchTarget;
+use clementinepond_dispatch::lease::LeaseEvent;
 use clementinepond_dispatch::ledger::EndpointKey;
 use clementinepond_dispatch::peer::{AccountNews, ModelDemand, PeerMessage, PeerNews};
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan, VmId};
@@ -38,9 +39,16 @@
         let state = &mut *guard;
         let loads = news.loads.clone();
         let ejected = news.ejected.clone();
+        let lapsed = news.lapsed_order_age_ms;
         let Some(uses) = state.peers.note_news(from, address, news, now) else {
             return;
         };
+        if let (Some(age), Some(lease)) = (lapsed, &mut state.lease) {
+            let age = u64::from(age) * 1_000;
+            let last_order = LocalTime::from_micros(now.micros().saturating_sub(age));
+            let vm = from.clone();
+            lease.reduce(LeaseEvent::Lapsed { vm, last_order }, now);
+        }
         state.loads.set_peer(from, loads);
         let table = state.table.clone();
         for one in uses {
@@ -92,6 +100,7 @@
             has_store: state.failing_kinds == 0,
             store_age_ms: u32::try_from(now.since(state.store_answered_at).millis())
                 .unwrap_or(u32::MAX),
+            lapsed_order_age_ms: state.lapsed_order_age(now),
             duty: state.lease.as_ref().and_then(|lease| lease.held_fence(now)),
             accounts: accounts.collect(),
             loads: state.loads.news(),
--- a/crates/clementinepond_entry/src/node/entry_node.rs
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -59,6 +59,8 @@
     pub(crate) store_answered_at: LocalTime,
     /// Kinds whose calls of the store fail now.
     pub(crate) failing_kinds: u32,
+    /// Moment of this VM's last order in this process.
+    pub(crate) last_order: Option<LocalTime>,
     /// State towards the lease of the placement duty.
     pub(crate) lease: Option<DutyLease>,
     /// Placement of each service while this VM holds the duty.
@@ -107,6 +109,7 @@
             work_ms: FnvHashMap::default(),
             store_answered_at: LocalTime::ORIGIN,
             failing_kinds: 0,
+            last_order: None,
             lease: None,
             planners: FnvHashMap::default(),
             ejected_here: FnvHashMap::default(),
--- a/crates/clementinepond_entry/src/node/placement.rs
+++ b/crates/clementinepond_entry/src/node/placement.rs
@@ -5,7 +5,7 @@
 use crate::clock::BootClock;
 use clementinepond_dispatch::fleet::ModelTarget;
 use clementinepond_dispatch::ledger::EndpointKey;
-use clementinepond_dispatch::peer::{AdapterPlace, PeerMessage, PlacementNews};
+use clementinepond_dispatch::peer::{AdapterPlace, PeerMessage, PlacementNews, SMALL_FLEET};
 use clementinepond_dispatch::place::adapter_key;
 use clementinepond_types::{AdapterId, EndpointId, LocalTime, ModelId, TimeSpan, VmId};
 use fnv::{FnvHashMap, FnvHashSet};
@@ -18,7 +18,7 @@
 const ABSENCE_SPAN: TimeSpan = TimeSpan::from_millis(1_000);
 /// Silence after which the holder's news of placement no longer show that it
 /// is there; it sends some twice a second.
-const HOLDER_SILENCE: TimeSpan = TimeSpan::from_millis(1_500);
+const HOLDER_SILENCE: TimeSpan = TimeSpan::from_millis(1_100);
 /// Time between two words to the holder about an adapter in use.
 const USE_NEWS: TimeSpan = TimeSpan::from_millis(1_000);
 /// Time after which an unanswered wish for an adapter is sent again.
@@ -37,6 +37,8 @@
     holder: Option<VmId>,
     /// Adapters at each endpoint.
     counts: FnvHashMap<EndpointKey, usize>,
+    /// Models being loaded, and when they are expected.
+    loading: FnvHashMap<EndpointKey, LocalTime>,
     /// Models that an endpoint said it does not hold, and until when that counts.
     absent: FnvHashMap<(EndpointKey, EndpointKey), LocalTime>,
     /// Moment of the last word to the holder about each adapter in use.
@@ -63,6 +65,12 @@
         }
         self.closing = news.closing.into_iter().collect();
         self.heard_at = now;
+        self.loading.clear();
+        for (model, millis) in news.loading {
+            let expected = now + TimeSpan::from_millis(u64::from(millis));
+            let soonest = self.loading.entry(model).or_insert(expected);
+            *soonest = (*soonest).min(expected);
+        }
         self.is_remote = from.is_some();
         self.holder = from.cloned();
         true
@@ -110,6 +118,11 @@
         self.adapters.contains(place)
     }
 
+    /// Returns the moment at which a model's next copy is expected.
+    pub(crate) fn expected_at(&self, model: EndpointKey) -> Option<LocalTime> {
+        self.loading.get(&model).copied()
+    }
+
     pub(crate) fn is_closing(
         &self,
         endpoint: EndpointKey,
@@ -128,10 +141,21 @@
             .is_some_and(|lease| lease.fence(now).is_some())
     }
 
+    /// Returns the age of this VM's last order once its authority is over.
+    pub(crate) fn lapsed_order_age(&self, now: LocalTime) -> Option<u32> {
+        let holds = self.lease.as_ref()?.held_fence(now).is_some();
+        let at = self.last_order.filter(|_| !holds)?;
+        Some(u32::try_from(now.since(at).millis()).unwrap_or(u32::MAX))
+    }
+
     /// Tells whether another VM shows that it holds the placement duty.
     pub(crate) fn hears_holder(&self, now: LocalTime) -> bool {
         let is_told = now.since(self.placement.heard_at) < HOLDER_SILENCE;
-        (is_told && self.placement.is_remote) || self.peers.duty_holder(now).is_some()
+        let is_small = self.peers.contact(now).1 < SMALL_FLEET;
+        let is_fresh = |vm: &VmId| !is_small || self.peers.age(vm, now) < HOLDER_SILENCE;
+        let heard = self.peers.duty_holder(now);
+        (is_told && self.placement.is_remote && heard.is_some())
+            || heard.is_some_and(|(vm, _)| is_fresh(vm))
     }
 
     /// Tells whether this VM or a heard peer holds the placement duty.
--- /dev/null
+++ b/crates/clementinepond_soak/src/callers.rs
@@ -0,0 +1,74 @@
+//! Callers that go on whatever happens.
+
+use clementinepond_platform_standin::{CallOutcome, CallRequest, send_call};
+use hyper::Method;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::net::SocketAddrV4;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// How long a caller waits.
+const PATIENCE: Duration = Duration::from_millis(2_500);
+
+/// One call and how it ended.
+#[derive(Debug, Clone)]
+pub(crate) struct CallRecord {
+    pub(crate) attempt: String,
+    pub(crate) is_stream: bool,
+    pub(crate) outcome: CallOutcome,
+}
+
+/// Calls of all callers.
+pub(crate) type CallLog = Arc<Mutex<Vec<CallRecord>>>;
+
+/// Makes one call of a kind drawn at random.
+pub(crate) fn draw_call(random: &mut ChaCha8Rng, attempt: &str) -> (CallRequest, bool) {
+    let (path, model) = match random.random_range(0..5) {
+        0 => ("/chat/talk", Some("m0")),
+        1 => ("/batch/sum", Some("m0")),
+        2 => ("/chat/talk", Some("m0/a1")),
+        3 => ("/chat/submit/form", None),
+        _ => ("/read/state", None),
+    };
+    let call = CallRequest {
+        method: Method::POST,
+        host: "desk.example".into(),
+        path: path.into(),
+        attempt: attempt.into(),
+        key: Some("key-of-desk".into()),
+        model: model.map(str::to_owned),
+        patience: PATIENCE,
+        body: attempt.as_bytes().to_vec(),
+    };
+    (call, model.is_some())
+}
+
+/// Calls until told to stop.
+pub(crate) async fn run_caller(
+    seed: u64,
+    number: u64,
+    entries: Vec<SocketAddrV4>,
+    log: CallLog,
+    mut stop: watch::Receiver<bool>,
+) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ (number << 32));
+    let mut count = 0;
+    while !*stop.borrow_and_update() {
+        let attempt = format!("s{seed}-c{number}-{count}");
+        count += 1;
+        let entry = entries[random.random_range(0..entries.len())];
+        let (call, is_stream) = draw_call(&mut random, &attempt);
+        let outcome = send_call(entry, call).await;
+        let record = CallRecord {
+            attempt,
+            is_stream,
+            outcome,
+        };
+        log.lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(record);
+        tokio::time::sleep(Duration::from_millis(random.random_range(5..40))).await;
+    }
+}
