--- a/crates/clementinepond_dispatch/src/lease/mod.rs
+++ b/crates/clementinepond_dispatch/src/lease/mod.rs
@@ -21,7 +21,7 @@
 /// Pause after a failed call.
 const RETRY_PAUSE: TimeSpan = TimeSpan::from_millis(250);
 /// Extra time over the endpoints' own gap between two holders.
-const GAP_MARGIN: TimeSpan = TimeSpan::from_millis(300);
+const GAP_MARGIN: TimeSpan = TimeSpan::from_millis(600);
 
 /// What the object holds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -123,6 +123,8 @@
     seen: Option<(StoredLease, LocalTime)>,
     /// VM that said its authority is over, its last order, and when that was heard.
     lapsed: Option<(VmId, LocalTime, LocalTime)>,
+    /// Last order of the holder from whom this VM is about to take over.
+    last_order_before: Option<LocalTime>,
     calling_since: Option<LocalTime>,
     next_call: LocalTime,
     is_released: bool,
@@ -147,6 +149,7 @@
             held: None,
             seen: None,
             lapsed: None,
+            last_order_before: None,
             calling_since: None,
             next_call: now + stagger,
             is_released: false,
@@ -258,6 +261,8 @@
                 let has_lapsed = self.lapsed.as_ref().is_some_and(|(vm, _, heard_at)| {
                     holder.as_ref() == Some(vm) && heard_at > since
                 });
+                let heard = self.lapsed.as_ref().map(|(_, last_order, _)| *last_order);
+                self.last_order_before = heard.filter(|_| has_lapsed);
                 if !is_free && !has_lapsed && now.since(*since) < SPAN {
                     self.next_call = now + LOOK;
                     return None;
@@ -343,10 +348,7 @@
         let order_from = if is_resumed {
             now
         } else {
-            let last_order = match (&self.lapsed, &previous) {
-                (Some((vm, at, _)), Some(previous)) if vm == previous => *at,
-                _ => now,
-            };
+            let last_order = self.last_order_before.take().unwrap_or(now);
             now.max(last_order + self.order_gap + GAP_MARGIN)
         };
         self.held = Some(HeldLease {
--- a/crates/clementinepond_dispatch/src/peer/message.rs
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -88,8 +88,12 @@
     pub fence: u64,
     /// Count of news under this fence.
     pub number: u64,
+    /// Whether these are all adapters, or changes since the last news.
+    pub is_whole: bool,
     /// Adapters that are loaded.
     pub adapters: Vec<AdapterPlace>,
+    /// Adapters that are no longer loaded.
+    pub removed: Vec<AdapterPlace>,
     /// Copies of models that are about to be unloaded: endpoint and model.
     pub closing: Vec<(EndpointKey, EndpointKey)>,
     /// Models being loaded, and the milliseconds until they are expected.
--- a/crates/clementinepond_dispatch/src/quota/account_bucket.rs
+++ b/crates/clementinepond_dispatch/src/quota/account_bucket.rs
@@ -2,6 +2,10 @@
 
 use clementinepond_types::{LocalTime, TimeSpan};
 
+/// Refill that peers' use may take in advance, in seconds; bounds how long an
+/// account is refused after a partition heals.
+const DEBT_LIMIT_S: f64 = 10.0;
+
 /// Bucket of one account; units are those of the account's quota.
 #[derive(Debug, Clone)]
 pub struct AccountBucket {
@@ -60,7 +64,8 @@
 
     /// Counts units that ran at another VM.
     pub fn take_remote(&mut self, units: f64) {
-        self.level = (self.level - units).max(-self.burst);
+        let debt_limit = self.burst + self.rate_per_s * DEBT_LIMIT_S;
+        self.level = (self.level - units).max(-debt_limit);
     }
 
     /// Gives back units of a request that did not run.
--- a/crates/clementinepond_entry/src/duty/lease_task.rs
+++ b/crates/clementinepond_entry/src/duty/lease_task.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::BootClock;
 use crate::node::{EntryNode, increment};
+use crate::settings::CapacitySettings;
 use crate::store::{StoreClient, WriteOutcome};
 use clementinepond_dispatch::lease::{
     DutyLease, LeaseEffect, LeaseEvent, LeaseRecord, StoredLease,
@@ -18,6 +19,12 @@
 const TICK: TimeSpan = TimeSpan::from_millis(100);
 /// Head start of the first VM in line over the last.
 const STAGGER_RANGE_MS: u64 = 900;
+/// Link that carries the duty of a large fleet, in megabits a second.
+const ENOUGH_LINK_MBPS: f64 = 100.0;
+/// Share of a core that carries the duty of a large fleet.
+const ENOUGH_CPU: f64 = 0.25;
+/// Longest time that a small VM leaves to larger ones, in milliseconds.
+const HANDICAP_MS: f64 = 900.0;
 /// Peers for which the head starts are spread over that range; more peers need
 /// more room, since each try is a call of the store.
 const STAGGER_FLEET: u64 = 20;
@@ -26,7 +33,7 @@
 pub(crate) async fn run_lease(node: Rc<EntryNode>, stop: CancellationToken) {
     let settings = node.settings();
     let stagger = rendezvous_weight(0, settings.vm.as_str()) % STAGGER_RANGE_MS;
-    let first = TimeSpan::from_millis(stagger);
+    let first = TimeSpan::from_millis(stagger + handicap(&settings.capacity));
     let lease = DutyLease::new(
         settings.vm.clone(),
         node.incarnation,
@@ -56,6 +63,16 @@
     }
 }
 
+/// Returns the time, in milliseconds, that a small VM leaves to larger ones.
+fn handicap(capacity: &CapacitySettings) -> u64 {
+    let lack = |value: Option<f64>, enough: f64| {
+        value.map_or(0.0, |value| (1.0 - value / enough).clamp(0.0, 1.0))
+    };
+    let lacking =
+        lack(capacity.link_mbps, ENOUGH_LINK_MBPS).max(lack(capacity.cpu_share, ENOUGH_CPU));
+    (lacking * HANDICAP_MS) as u64
+}
+
 /// Gives the lease up before the VM stops.
 pub(crate) async fn release_lease(node: &Rc<EntryNode>) {
     let mut client = StoreClient::new(node.settings().store.address);
--- a/crates/clementinepond_entry/src/duty/order_task.rs
+++ b/crates/clementinepond_entry/src/duty/order_task.rs
@@ -5,7 +5,7 @@
 use crate::node::{EntryNode, increment};
 use clementinepond_dispatch::fleet::{EndpointEntry, ServiceId};
 use clementinepond_dispatch::health::HealthGrade;
-use clementinepond_dispatch::peer::PeerMessage;
+use clementinepond_dispatch::peer::{AdapterPlace, PeerMessage, PlacementNews, SMALL_FLEET};
 use clementinepond_dispatch::place::{
     OrderReply, PlacementPlanner, PlannerEffect, PlannerInput, SentOrder,
 };
@@ -13,7 +13,7 @@
     STATUS_PATH, order_body, order_path, read_order_reply, read_status, write_instance,
 };
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
-use fnv::FnvHashMap;
+use fnv::{FnvHashMap, FnvHashSet};
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
 use std::cell::RefCell;
@@ -27,8 +27,10 @@
 const WAITING_INTERVAL: TimeSpan = TimeSpan::from_millis(4);
 /// Longest time for an endpoint's answer to an order.
 const ORDER_LIMIT: TimeSpan = TimeSpan::from_millis(400);
-/// Time between two news of placement when nothing changed.
-const NEWS_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
+/// Time between two news of placement, which hold the changes since.
+const NEWS_INTERVAL: TimeSpan = TimeSpan::from_millis(300);
+/// Time between two news of all adapters in a small fleet.
+const WHOLE_INTERVAL: TimeSpan = TimeSpan::from_millis(600);
 /// Idle time after which a connection for orders is not used again.
 const LINE_REUSE: TimeSpan = TimeSpan::from_millis(400);
 
@@ -38,8 +40,7 @@
 /// Plans and orders while the VM holds the duty.
 pub(crate) async fn run_orders(node: Rc<EntryNode>, stop: CancellationToken) {
     let lines: OrderLines = Rc::default();
-    let mut news_number = 0;
-    let mut news_due = LocalTime::ORIGIN;
+    let mut sent = SentNews::default();
     loop {
         let has_waits = node
             .state
@@ -65,11 +66,7 @@
         for effect in effects {
             carry_out(&node, &lines, effect);
         }
-        if has_orders || now >= news_due {
-            news_due = now + NEWS_INTERVAL;
-            news_number += 1;
-            spread_news(&node, fence, news_number, now);
-        }
+        sent.spread(&node, fence, has_orders, now);
     }
 }
 
@@ -107,12 +104,7 @@
             .or_insert_with(|| PlacementPlanner::new(now));
         effects.extend(planner.step(&input, now));
     }
-    let is_news = |effect: &PlannerEffect| {
-        matches!(
-            effect,
-            PlannerEffect::MoveStarted { .. } | PlannerEffect::AdapterReady { .. }
-        )
-    };
+    let is_news = |effect: &PlannerEffect| matches!(effect, PlannerEffect::MoveStarted { .. });
     let has_news = effects.iter().any(is_news);
     (effects, has_news)
 }
@@ -153,25 +145,54 @@
     }
 }
 
-fn spread_news(node: &EntryNode, fence: u64, number: u64, now: LocalTime) {
-    let mut news = {
-        let state = node.state.borrow();
-        let mut all = state
-            .planners
-            .values()
-            .map(|planner| planner.news(fence, now));
-        let mut news = all.next().unwrap_or_default();
-        for more in all {
-            news.adapters.extend(more.adapters);
-            news.closing.extend(more.closing);
-            news.loading.extend(more.loading);
+/// News of placement as they were last sent.
+#[derive(Debug, Default)]
+struct SentNews {
+    number: u64,
+    adapters: FnvHashSet<AdapterPlace>,
+    whole_due: LocalTime,
+    next: LocalTime,
+}
+
+impl SentNews {
+    /// Tells all VMs what changed; from time to time, everything.
+    fn spread(&mut self, node: &EntryNode, fence: u64, is_urgent: bool, now: LocalTime) {
+        if !is_urgent && now < self.next {
+            return;
         }
-        news
+        let mut news = whole_news(node, fence, now);
+        let current: FnvHashSet<AdapterPlace> = news.adapters.drain(..).collect();
+        news.is_whole = now >= self.whole_due;
+        if news.is_whole {
+            let peers = node.state.borrow().peers.contact(now).1.max(SMALL_FLEET) as u64;
+            self.whole_due = now + WHOLE_INTERVAL.fraction(peers, SMALL_FLEET as u64);
+            news.adapters = current.iter().cloned().collect();
+        } else {
+            news.adapters = current.difference(&self.adapters).cloned().collect();
+            news.removed = self.adapters.difference(&current).cloned().collect();
+        }
+        self.adapters = current;
+        self.number += 1;
+        self.next = now + NEWS_INTERVAL;
+        news.number = self.number;
+        node.take_placement(news.clone(), None, now);
+        node.broadcast(PeerMessage::Placement(Box::new(news)));
+    }
+}
+
+fn whole_news(node: &EntryNode, fence: u64, now: LocalTime) -> PlacementNews {
+    let state = node.state.borrow();
+    let mut news = PlacementNews {
+        fence,
+        ..PlacementNews::default()
     };
-    news.fence = fence;
-    news.number = number;
-    node.take_placement(news.clone(), None, now);
-    node.broadcast(PeerMessage::Placement(Box::new(news)));
+    for planner in state.planners.values() {
+        let more = planner.news(fence, now);
+        news.adapters.extend(more.adapters);
+        news.closing.extend(more.closing);
+        news.loading.extend(more.loading);
+    }
+    news
 }
 
 fn take_line(lines: &OrderLines, endpoint: &EndpointId, address: SocketAddrV4) -> HttpLine {
--- a/crates/clementinepond_entry/src/node/contact.rs
+++ b/crates/clementinepond_entry/src/node/contact.rs
@@ -8,6 +8,7 @@
 use clementinepond_dispatch::peer::{AccountNews, ModelDemand, PeerMessage, PeerNews};
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan, VmId};
 use fnv::FnvHashMap;
+use rand::RngExt;
 use std::net::SocketAddrV4;
 
 /// Time after a process's start within which it takes over peers' buckets.
@@ -135,13 +136,25 @@
             .as_ref()
             .map_or(0, |table| table.policy().version);
         let revision = state.endpoint_revision;
-        state
+        let home = self.settings().data_centre.clone();
+        let ahead: Vec<_> = state
             .peers
             .heard(now)
             .filter_map(|(_, peer)| Some((peer.address, peer.news.as_ref()?)))
             .filter(|(_, news)| news.configuration > version || news.directory > revision)
-            .max_by_key(|(_, news)| (news.configuration, news.directory))
-            .map(|(address, _)| address)
+            .collect();
+        // The nearest of those that know the newest configuration; among them
+        // any, so that they share the work.
+        let newest = ahead.iter().map(|(_, news)| news.configuration).max()?;
+        let known = ahead
+            .iter()
+            .filter(|(_, news)| news.configuration == newest);
+        known
+            .max_by_key(|(_, news)| {
+                let is_home = news.data_centre == home;
+                (is_home, rand::rng().random::<u32>())
+            })
+            .map(|(address, _)| *address)
     }
 
     /// Returns the demand of the whole fleet.
--- a/crates/clementinepond_entry/src/node/fleet_state.rs
+++ b/crates/clementinepond_entry/src/node/fleet_state.rs
@@ -259,6 +259,21 @@
         }
     }
 
+    /// Returns how long changes collect: longer in a large fleet, where they
+    /// are many, and longer still at the second watcher, which stands by.
+    pub(crate) fn batch_pause(&self, pause: TimeSpan) -> TimeSpan {
+        let settings = self.settings();
+        let now = BootClock::now();
+        let state = self.state.borrow();
+        if state.peers.contact(now).1 < SMALL_FLEET {
+            return pause;
+        }
+        let rank = state
+            .peers
+            .watch_rank(&settings.vm, &settings.data_centre, now);
+        pause.fraction(if rank == 0 { 3 } else { 7 }, 1)
+    }
+
     /// Tells whether this VM watches the store itself.
     pub(crate) fn is_watcher(&self, now: LocalTime) -> bool {
         let settings = self.settings();
--- a/crates/clementinepond_entry/src/node/pick.rs
+++ b/crates/clementinepond_entry/src/node/pick.rs
@@ -19,8 +19,9 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
-/// Share of its shared parts that the owner of a session probably holds.
-const OWNER_CACHE_SHARE: f64 = 0.8;
+/// Shares of its shared parts that the owners of a session probably hold; two
+/// owners let load be balanced without losing the cache.
+const OWNER_CACHE_SHARES: [f64; 2] = [0.85, 0.7];
 /// Weight of a new measurement in an endpoint's pace.
 const PACE_WEIGHT: f64 = 0.15;
 /// Bounds of an endpoint's pace.
@@ -148,7 +149,7 @@
             })
             .collect();
         let holders = if open.is_empty() { holders } else { open };
-        let owner = session_owner(query.profile, &holders);
+        let owners = session_owners(query.profile, &holders);
         let shared_tokens = shared_tokens(query.profile);
         let candidates: Vec<EngineCandidate<'_>> = holders
             .iter()
@@ -159,11 +160,12 @@
                 let seen = state
                     .parts
                     .cached_tokens(key, weights, &query.profile.parts);
-                let assumed = if owner == Some(index) {
-                    (shared_tokens as f64 * OWNER_CACHE_SHARE) as u64
-                } else {
-                    0
-                };
+                let share = owners
+                    .iter()
+                    .zip(OWNER_CACHE_SHARES)
+                    .find(|(owner, _)| **owner == index)
+                    .map_or(0.0, |(_, share)| share);
+                let assumed = (shared_tokens as f64 * share) as u64;
                 let adapter = match &target.adapter {
                     Some(adapter) => {
                         let place = AdapterPlace {
@@ -193,6 +195,17 @@
                 }
             })
             .collect();
+        // Nobody can load an adapter: only engines that hold it are of use.
+        let ready: Vec<EngineCandidate<'_>> = candidates
+            .iter()
+            .filter(|one| one.adapter == AdapterReadiness::Ready)
+            .cloned()
+            .collect();
+        let candidates = if has_holder || ready.is_empty() {
+            candidates
+        } else {
+            ready
+        };
         let (index, predicted) = match choose_engine(&candidates, &request) {
             EngineVerdict::Send { index, first_token } => (index, first_token),
             EngineVerdict::Refuse { retry_after } => {
@@ -370,19 +383,25 @@
         .sum()
 }
 
-/// Returns the holder that owns the request's adapter or session, the same on
+/// Returns the holders that own the request's adapter or session, the same on
 /// every VM.
-fn session_owner(profile: &RequestProfile, holders: &[&KnownEndpoint]) -> Option<usize> {
+fn session_owners(profile: &RequestProfile, holders: &[&KnownEndpoint]) -> Vec<usize> {
     let adapter = profile
         .target
         .as_ref()
         .and_then(|target| Some(adapter_key(&target.model, target.adapter.as_ref()?)));
     let session = match adapter {
         Some(key) => key.number(),
-        None => profile.parts.get(profile.parts.len().saturating_sub(2))?.id,
+        None => match profile.parts.get(profile.parts.len().saturating_sub(2)) {
+            Some(part) => part.id,
+            None => return Vec::new(),
+        },
     };
-    let weight = |known: &KnownEndpoint| rendezvous_weight(session, known.entry.id.as_str());
-    (0..holders.len()).max_by_key(|&index| weight(holders[index]))
+    let weight = |index: usize| rendezvous_weight(session, holders[index].entry.id.as_str());
+    let mut order: Vec<usize> = (0..holders.len()).collect();
+    order.sort_by_key(|&index| std::cmp::Reverse(weight(index)));
+    order.truncate(OWNER_CACHE_SHARES.len());
+    order
 }
 
 fn engine_share(tokens: TokenDemand, profile: &RequestProfile, prefill: u64) -> LoadShare {
--- a/crates/clementinepond_entry/src/node/placement.rs
+++ b/crates/clementinepond_entry/src/node/placement.rs
@@ -58,7 +58,13 @@
         }
         self.fence = news.fence;
         self.number = news.number;
-        self.adapters = news.adapters.into_iter().collect();
+        if news.is_whole {
+            self.adapters.clear();
+        }
+        for place in &news.removed {
+            self.adapters.remove(place);
+        }
+        self.adapters.extend(news.adapters);
         self.counts.clear();
         for place in &self.adapters {
             *self.counts.entry(place.endpoint).or_default() += 1;
--- a/crates/clementinepond_entry/src/peer/snapshot.rs
+++ b/crates/clementinepond_entry/src/peer/snapshot.rs
@@ -28,7 +28,7 @@
 /// Time that the VM's own watch gets before a peer is asked.
 const PATIENCE: TimeSpan = TimeSpan::from_millis(350);
 /// Longest time for a snapshot.
-const CALL_LIMIT: TimeSpan = TimeSpan::from_millis(800);
+const CALL_LIMIT: TimeSpan = TimeSpan::from_millis(1_500);
 /// Path of the snapshot.
 const SNAPSHOT_PATH: &str = "/snapshot";
 
--- a/crates/clementinepond_entry/src/settings/entry_settings.rs
+++ b/crates/clementinepond_entry/src/settings/entry_settings.rs
@@ -68,6 +68,16 @@
     pub interval_ms: f64,
 }
 
+/// What the VM can carry; duties go to the larger VMs first.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CapacitySettings {
+    /// Bandwidth of the VM's link, in megabits a second.
+    pub link_mbps: Option<f64>,
+    /// Share of a processor core.
+    pub cpu_share: Option<f64>,
+}
+
 /// Settings of one entry VM.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -88,6 +98,9 @@
     pub shutdown: ShutdownSettings,
     /// Peers.
     pub peers: PeerSettings,
+    /// What the VM can carry.
+    #[serde(default)]
+    pub capacity: CapacitySettings,
 }
 
 impl OrderSettings {
--- a/crates/clementinepond_entry/src/settings/mod.rs
+++ b/crates/clementinepond_entry/src/settings/mod.rs
@@ -4,5 +4,5 @@
 mod read;
 
 pub use entry_settings::EntrySettings;
-pub(crate) use entry_settings::ListenSettings;
+pub(crate) use entry_settings::{CapacitySettings, ListenSettings};
 pub use read::SettingsError;
--- a/crates/clementinepond_entry/src/store/watch.rs
+++ b/crates/clementinepond_entry/src/store/watch.rs
@@ -92,7 +92,7 @@
                 take_page(&node, target, page, is_list);
                 node.note_store_answer(BootClock::now());
                 if has_news && target == WatchTarget::Endpoints {
-                    tokio::time::sleep(BATCH_PAUSE.duration()).await;
+                    tokio::time::sleep(node.batch_pause(BATCH_PAUSE).duration()).await;
                 }
             }
             Err(StoreFailure::Gone) => {
