--- a/crates/clementinepond/src/command/check.rs
+++ b/crates/clementinepond/src/command/check.rs
@@ -1,6 +1,7 @@
 //! `check`: checks a settings file.
 
 use super::CommandError;
+use clementinepond_entry::{EntryError, EntrySettings};
 use clementinepond_settings::vm::VmSettings;
 use gumdrop::Options;
 use std::path::PathBuf;
@@ -12,6 +13,9 @@
     /// Print help.
     #[options(help = "print help")]
     pub(crate) help: bool,
+    /// Settings of an entry VM.
+    #[options(no_short, help = "the file holds settings of an entry VM")]
+    pub(crate) entry: bool,
     /// Settings file.
     #[options(required, meta = "FILE", help = "settings to check")]
     pub(crate) settings: PathBuf,
@@ -19,6 +23,14 @@
 
 /// Runs the command.
 pub(crate) fn run(options: &CheckOptions) -> Result<ExitCode, CommandError> {
+    if options.entry {
+        let settings = EntrySettings::read_file(&options.settings).map_err(EntryError::from)?;
+        println!(
+            "valid: vm={} data_centre={}",
+            settings.vm, settings.data_centre
+        );
+        return Ok(ExitCode::SUCCESS);
+    }
     let settings = VmSettings::read_file(&options.settings)?;
     println!(
         "valid: vm={} data_centre={}",
--- a/crates/clementinepond/src/command/mod.rs
+++ b/crates/clementinepond/src/command/mod.rs
@@ -10,6 +10,8 @@
 #[cfg(feature = "suite")]
 mod digest;
 mod entry;
+#[cfg(feature = "suite")]
+mod entry_log_event;
 mod error;
 #[cfg(feature = "suite")]
 mod load;
--- a/crates/clementinepond/src/command/reference.rs
+++ b/crates/clementinepond/src/command/reference.rs
@@ -3,6 +3,7 @@
 use super::command_line::Command;
 use super::log_event::log_event_page;
 use super::{CommandError, CommandLine};
+use clementinepond_entry::entry_reference_page;
 use clementinepond_settings::vm::reference_page;
 use gumdrop::Options;
 use std::fmt::Write;
@@ -30,6 +31,7 @@
 pub(crate) fn run(options: &ReferenceOptions) -> Result<ExitCode, CommandError> {
     let pages = [
         ("settings.md", reference_page()),
+        ("entry-settings.md", entry_reference_page()),
         ("commands.md", command_page()),
         ("log-events.md", log_event_page()),
     ];
--- a/crates/clementinepond/tests/log_events.rs
+++ b/crates/clementinepond/tests/log_events.rs
@@ -1,4 +1,4 @@
-//! The reference page lists every log event of the daemon.
+//! The reference page lists every log event of the daemon and of entry VMs.
 
 #![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
 
@@ -27,6 +27,7 @@
     let crates = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
     let mut found = BTreeSet::new();
     collect(&crates.join("clementinepond_daemon/src"), &mut found);
+    collect(&crates.join("clementinepond_entry/src"), &mut found);
     let page = include_str!("../../../docs/reference/log-events.md");
     for name in found {
         assert!(
--- a/crates/clementinepond_dispatch/src/place/order_book.rs
+++ b/crates/clementinepond_dispatch/src/place/order_book.rs
@@ -12,6 +12,9 @@
 /// Time after which an accepted model load that never showed is written off.
 const LOAD_PATIENCE: TimeSpan = TimeSpan::from_secs(20);
 
+/// Pause between two orders to an endpoint that is dropping an adapter in use.
+const DROP_PAUSE: TimeSpan = TimeSpan::from_millis(300);
+
 /// Where one adapter stands at one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AdapterPhase {
@@ -147,6 +150,9 @@
                 self.accepted_at = now;
                 self.note_held(order, now);
             }
+            OrderReply::Conflict if self.is_dropping_adapter() => {
+                self.pause_until = now + DROP_PAUSE;
+            }
             OrderReply::Conflict => self.order_count = None,
             OrderReply::Unknown => {
                 self.doubtful.push((order.clone(), now + LATE_ORDER_SPAN));
@@ -157,6 +163,12 @@
         }
     }
 
+    /// Tells whether an adapter that was in use is being dropped.
+    fn is_dropping_adapter(&self) -> bool {
+        let is_unloading = |held: &HeldAdapter| held.phase == AdapterPhase::Unloading;
+        self.adapters.values().any(is_unloading)
+    }
+
     fn advance(&mut self) {
         self.order_count = self.order_count.map(|count| count + 1);
         self.count_floor = self.order_count.unwrap_or(self.count_floor);
@@ -175,6 +187,9 @@
                     used_at: now,
                     ready_at: now,
                 };
+                // The endpoint takes no order before it has dropped an adapter.
+                self.adapters
+                    .retain(|_, held| held.phase != AdapterPhase::Unloading);
                 self.adapters.insert((model.clone(), adapter.clone()), held);
             }
             EndpointOrder::UnloadAdapter(model, adapter) => {
@@ -236,7 +251,8 @@
                 if !self.adapters.contains_key(&(model.clone(), adapter.clone())))
             })
             .count();
-        self.adapters.len() + arriving
+        let is_staying = |held: &&HeldAdapter| held.phase != AdapterPhase::Unloading;
+        self.adapters.values().filter(is_staying).count() + arriving
     }
 
     /// Tells whether an order may be sent now.
--- a/crates/clementinepond_dispatch/src/place/planner.rs
+++ b/crates/clementinepond_dispatch/src/place/planner.rs
@@ -34,8 +34,9 @@
 const STATUS_LAG: TimeSpan = TimeSpan::from_millis(500);
 /// Time from an accepted adapter load to its use; the adapters' usual load time.
 const ADAPTER_LOAD: TimeSpan = TimeSpan::from_millis(14);
-/// Time for which an adapter in use is not displaced.
-const ADAPTER_REST: TimeSpan = TimeSpan::from_millis(250);
+/// Time after its last request for which an adapter is not displaced: an adapter
+/// that a stream still uses blocks all further orders until the stream ends.
+const ADAPTER_REST: TimeSpan = TimeSpan::from_millis(2_500);
 /// Time after which a wait for an adapter is dropped; callers have gone elsewhere.
 const ADAPTER_PATIENCE: TimeSpan = TimeSpan::from_millis(1_500);
 /// Loads from the weight store that may be saved up.
@@ -436,15 +437,13 @@
         if !book.is_idle(now) || book.order_count.is_none() || is_busy {
             return AdapterStep::Wait;
         }
-        book.adapters
-            .retain(|_, held| held.phase != AdapterPhase::Unloading || now < held.ready_at);
         if book.adapter_slots_taken() < policy.adapter_slots as usize {
             return AdapterStep::Order(EndpointOrder::LoadAdapter(key.0, key.1));
         }
         let victim = book
             .adapters
             .iter()
-            .filter(|(_, held)| held.phase == AdapterPhase::Loaded)
+            .filter(|(_, held)| held.phase != AdapterPhase::Unloading && now >= held.ready_at)
             .filter(|(_, held)| now.since(held.used_at) > ADAPTER_REST)
             .min_by_key(|(_, held)| held.used_at)
             .map(|((model, adapter), _)| (model.clone(), adapter.clone()));
--- a/crates/clementinepond_dispatch/src/quota/quota_ledger.rs
+++ b/crates/clementinepond_dispatch/src/quota/quota_ledger.rs
@@ -22,7 +22,12 @@
 /// Share of an account's rate from which its demand counts as heavy.
 const HEAVY_SHARE: f64 = 0.9;
 /// Requests that a VM's own share always holds at least.
-const SHARE_REQUESTS: f64 = 1.5;
+const SHARE_REQUESTS: f64 = 1.0;
+/// Part of the rate that shares use in a large fleet, where each of many VMs
+/// rounds up to whole requests and hears of the others once a second.
+const LARGE_FLEET_PART: f64 = 0.9;
+/// VMs from which a fleet is large.
+const LARGE_FLEET: usize = 24;
 
 /// Quota state of one account at one VM.
 #[derive(Debug, Clone)]
@@ -77,6 +82,7 @@
     accounts: FnvHashMap<AccountId, AccountUse>,
     /// Part of the rate that the VMs in contact may use together.
     refill_part: f64,
+    is_large: bool,
     /// Units asked a second at the other VMs.
     asked_elsewhere: FnvHashMap<AccountId, f64>,
 }
@@ -88,12 +94,14 @@
         Self {
             accounts: FnvHashMap::default(),
             refill_part: 1.0,
+            is_large: false,
             asked_elsewhere: FnvHashMap::default(),
         }
     }
 
     /// Sets the part of each rate that the VMs in contact may use.
     pub fn set_contact(&mut self, heard: usize, known: usize, now: LocalTime) {
+        self.is_large = known >= LARGE_FLEET;
         let part = (heard + 1) as f64 / (known.max(heard) + 1) as f64;
         if part != self.refill_part {
             for account in self.accounts.values_mut() {
@@ -127,9 +135,14 @@
             1.0
         };
         let share_burst = (policy.burst * fraction).max(SHARE_REQUESTS * units);
+        let caution = if is_heavy && self.is_large {
+            LARGE_FLEET_PART
+        } else {
+            1.0
+        };
         account
             .share
-            .set_quota(policy.rate_per_s * fraction, share_burst);
+            .set_quota(policy.rate_per_s * fraction * caution, share_burst);
         account.share.refill(part, now);
         if account.share.level() < units.min(share_burst) {
             let retry_after = account.share.time_until(units);
--- a/crates/clementinepond_dispatch/src/select/engine_choice.rs
+++ b/crates/clementinepond_dispatch/src/select/engine_choice.rs
@@ -18,7 +18,7 @@
 /// Time to load an adapter through the planner, in milliseconds.
 const ADAPTER_LOAD_MS: f64 = 35.0;
 /// Time to load an adapter where another one has to make way, in milliseconds.
-const ADAPTER_SWAP_MS: f64 = 150.0;
+const ADAPTER_SWAP_MS: f64 = 400.0;
 /// Handicap of an engine in another data centre, in milliseconds.
 const DISTANCE_MS: f64 = 12.0;
 /// Handicap of an engine that has left the list, in milliseconds.
--- a/crates/clementinepond_entry/src/caller/relay.rs
+++ b/crates/clementinepond_entry/src/caller/relay.rs
@@ -32,7 +32,9 @@
 /// Pause before a request is sent again to an endpoint that loads its adapter.
 const ADAPTER_PAUSE: TimeSpan = TimeSpan::from_millis(12);
 /// Longest wait for an adapter.
-const ADAPTER_WAIT: TimeSpan = TimeSpan::from_millis(400);
+const ADAPTER_WAIT: TimeSpan = TimeSpan::from_millis(200);
+/// Endpoints at which an adapter is awaited, at most.
+const ADAPTER_WAITS: u32 = 3;
 /// Silence of an endpoint after which a request that may be repeated goes to
 /// another one, in multiples of the expected time.
 const SILENCE_FACTOR: u64 = 5;
@@ -68,6 +70,7 @@
     /// Arrivals at endpoints, sends to the same one included.
     arrivals: u32,
     unreached: u32,
+    adapter_waits: u32,
     may_have_run: bool,
     /// Event after which a stream goes on.
     pub(crate) resume_after: Option<u64>,
@@ -82,6 +85,7 @@
             sent: 0,
             arrivals: 0,
             unreached: 0,
+            adapter_waits: 0,
             may_have_run: false,
             resume_after: request.profile.resume_after,
         }
@@ -154,7 +158,7 @@
         let mut needs_adapter = picked.missing_adapter.is_some();
         for _ in 0..ADAPTER_SENDS {
             if needs_adapter && !self.await_adapter(&picked).await {
-                return Err(self.give_up("adapter_not_loaded", NO_COPY_RETRY));
+                return self.note_no_adapter(&picked);
             }
             if let Some(target) = &self.request.profile.target {
                 self.node.note_adapter_use(&picked.id, target);
@@ -422,6 +426,26 @@
         true
     }
 
+    /// Leaves an endpoint that did not get the adapter in time.
+    fn note_no_adapter(
+        &mut self,
+        picked: &PickedEndpoint,
+    ) -> Result<Option<BegunAnswer>, OwnAnswer> {
+        log::info!(
+            "event=adapter_missed request={} endpoint={} waits={}",
+            self.request_id(),
+            picked.id,
+            self.adapter_waits
+        );
+        self.tried.push(picked.id.clone());
+        self.sent -= 1;
+        self.adapter_waits += 1;
+        if self.adapter_waits >= ADAPTER_WAITS {
+            return Err(self.give_up("adapter_not_loaded", NO_COPY_RETRY));
+        }
+        Ok(None)
+    }
+
     fn refuse(&self, cause: RefusalCause) -> OwnAnswer {
         match cause {
             RefusalCause::NoEndpoint => self.give_up("no_endpoint", NO_COPY_RETRY),
--- a/crates/clementinepond_entry/src/caller/serve_request.rs
+++ b/crates/clementinepond_entry/src/caller/serve_request.rs
@@ -9,7 +9,7 @@
 use clementinepond_dispatch::budget::RetryBudget;
 use clementinepond_dispatch::ledger::EndpointKey;
 use clementinepond_platform::read_request;
-use clementinepond_types::{LocalTime, RequestId, TimeSpan};
+use clementinepond_types::{LocalTime, ModelId, RequestId, TimeSpan};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response};
@@ -37,6 +37,7 @@
     let (parts, body) = request.into_parts();
     let profile = read_request(&parts.headers);
     let id = profile.id.clone();
+    let model = profile.target.as_ref().map(|target| target.model.clone());
     let mut left = LeaveNote {
         node: Rc::clone(&node),
         id: id.clone(),
@@ -51,7 +52,7 @@
     left.is_answered = true;
     let mut response = match answered {
         Ok(response) => response,
-        Err(answer) => own_answer(&node, answer, id.as_ref(), arrival),
+        Err(answer) => own_answer(&node, answer, id.as_ref(), model.as_ref(), arrival),
     };
     if node.stopping_since.get().is_some() {
         let headers = response.headers_mut();
@@ -146,6 +147,7 @@
     node: &EntryNode,
     answer: OwnAnswer,
     id: Option<&RequestId>,
+    model: Option<&ModelId>,
     arrival: LocalTime,
 ) -> Response<AnswerBody> {
     let counter = match answer {
@@ -155,8 +157,9 @@
     increment(counter);
     let version = node.table().map_or(0, |table| table.policy().version);
     log::info!(
-        "event=request_ended request={} outcome=own_answer status={} reason={} configuration={version} duration_ms={}",
+        "event=request_ended request={} outcome=own_answer model={} status={} reason={} configuration={version} duration_ms={}",
         id.map_or("-", RequestId::as_str),
+        model.map_or("-", |model| model.as_str()),
         answer.status().as_u16(),
         answer.reason(),
         BootClock::now().since(arrival).millis()
--- a/crates/clementinepond_entry/src/lib.rs
+++ b/crates/clementinepond_entry/src/lib.rs
@@ -19,4 +19,4 @@
 
 pub use log_sink::{LogSink, open_log};
 pub use run::{EntryError, run_entry};
-pub use settings::{EntrySettings, SettingsError};
+pub use settings::{EntrySettings, SettingsError, entry_reference_page};
--- a/crates/clementinepond_entry/src/settings/mod.rs
+++ b/crates/clementinepond_entry/src/settings/mod.rs
@@ -2,7 +2,9 @@
 
 mod entry_settings;
 mod read;
+mod reference;
 
 pub use entry_settings::EntrySettings;
 pub(crate) use entry_settings::{CapacitySettings, ListenSettings};
 pub use read::SettingsError;
+pub use reference::entry_reference_page;
