--- a/crates/clementinepond_daemon/src/admin/router.rs
+++ b/crates/clementinepond_daemon/src/admin/router.rs
@@ -15,7 +15,7 @@
         response,
         StatusCode::NOT_FOUND,
         "path_not_found",
-        "there is no such path; see docs/OPERATING.md",
+        "there is no such path; see docs/OPERATIONS.md",
     );
 }
 
--- a/crates/clementinepond_dispatch/src/quota/quota_ledger.rs
+++ b/crates/clementinepond_dispatch/src/quota/quota_ledger.rs
@@ -21,6 +21,8 @@
 const DEMAND_MEMORY_S: f64 = 2.0;
 /// Share of an account's rate from which its demand counts as heavy.
 const HEAVY_SHARE: f64 = 0.9;
+/// The same in a large fleet, which hears later of a sudden rise.
+const LARGE_FLEET_HEAVY_SHARE: f64 = 0.6;
 /// Requests that a VM's own share always holds at least.
 const SHARE_REQUESTS: f64 = 1.0;
 /// Part of the rate that shares use in a large fleet, where each of many VMs
@@ -126,7 +128,12 @@
         account.bucket.refill(part, now);
         account.bucket.set_quota(policy.rate_per_s, policy.burst);
         let own = account.asked(now);
-        let is_heavy = own + elsewhere > HEAVY_SHARE * policy.rate_per_s;
+        let heavy_share = if self.is_large {
+            LARGE_FLEET_HEAVY_SHARE
+        } else {
+            HEAVY_SHARE
+        };
+        let is_heavy = own + elsewhere > heavy_share * policy.rate_per_s;
         // While demand is heavy, peers' use is known too late: each VM keeps to
         // its part of the demand.
         let fraction = if is_heavy {
--- /dev/null
+++ b/crates/clementinepond_dispatch/tests/placement.rs
@@ -0,0 +1,115 @@
+//! Choice of moves: which copy comes and which goes.
+
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+use clementinepond_dispatch::place::{EngineView, ModelView, PlacementView, choose_move};
+use clementinepond_types::TimeSpan;
+
+fn model(name: &str, work: f64) -> ModelView {
+    ModelView {
+        id: name.parse().unwrap(),
+        weights_mb: 70_000.0,
+        work,
+        is_wanted: work > 0.0,
+        is_awaited: false,
+        load_times: [
+            TimeSpan::from_millis(4_200),
+            TimeSpan::from_millis(900),
+            TimeSpan::from_millis(600),
+        ],
+    }
+}
+
+fn engine(name: &str, models: &[usize], free_mb: f64) -> EngineView {
+    EngineView {
+        id: name.parse().unwrap(),
+        is_usable: true,
+        is_moving: false,
+        free_mb,
+        models: models
+            .iter()
+            .map(|&index| (index, TimeSpan::from_secs(60)))
+            .collect(),
+        possible: models.to_vec(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+fn view(engines: Vec<EngineView>, models: Vec<ModelView>) -> PlacementView {
+    PlacementView {
+        engines,
+        models,
+        may_load_from_store: true,
+    }
+}
+
+#[test]
+fn a_lost_model_comes_before_a_crowded_one() {
+    let models = vec![model("m0", 5.0), model("m1", 0.0)];
+    let chosen = choose_move(&view(vec![engine("e1", &[0], 80_000.0)], models)).unwrap();
+    assert_eq!((chosen.load, chosen.unload), (1, Vec::new()));
+}
+
+#[test]
+fn a_lost_model_that_is_on_its_way_back_is_left_alone() {
+    let mut awaited = model("m1", 0.0);
+    awaited.is_awaited = true;
+    let models = vec![model("m0", 0.01), awaited];
+    assert_eq!(
+        choose_move(&view(vec![engine("e1", &[0], 80_000.0)], models)),
+        None
+    );
+}
+
+#[test]
+fn a_model_in_demand_gets_a_second_copy_where_the_loss_of_one_would_stop_it() {
+    let models = vec![model("m0", 0.15)];
+    let engines = vec![engine("e1", &[0], 0.0), engine("e2", &[], 150_000.0)];
+    let chosen = choose_move(&view(engines, models.clone())).unwrap();
+    assert_eq!((chosen.engine, chosen.load), (1, 0));
+    let engines = vec![
+        engine("e1", &[0], 0.0),
+        engine("e2", &[0], 80_000.0),
+        engine("e3", &[], 150_000.0),
+    ];
+    assert_eq!(choose_move(&view(engines, models)), None);
+}
+
+#[test]
+fn a_copy_is_given_up_only_for_a_model_that_is_clearly_busier() {
+    // m1 would reach 0.5 a copy, which is too close to m0's 0.6.
+    let even = vec![model("m0", 0.6), model("m1", 0.5)];
+    let engines = || {
+        vec![
+            engine("e1", &[0, 1], 10_000.0),
+            engine("e2", &[1], 10_000.0),
+        ]
+    };
+    assert_eq!(choose_move(&view(engines(), even)), None);
+    let uneven = vec![model("m0", 2.0), model("m1", 0.1)];
+    let chosen = choose_move(&view(engines(), uneven)).unwrap();
+    assert_eq!((chosen.engine, chosen.unload, chosen.load), (1, vec![1], 0));
+}
+
+#[test]
+fn an_engine_with_the_weights_at_hand_is_preferred() {
+    let models = vec![model("m0", 2.0)];
+    let mut warm = engine("e3", &[], 150_000.0);
+    warm.in_memory.push(0);
+    let engines = vec![engine("e1", &[0], 0.0), engine("e2", &[], 150_000.0), warm];
+    let chosen = choose_move(&view(engines, models)).unwrap();
+    assert_eq!((chosen.engine, chosen.from_store), (2, false));
+}
+
+#[test]
+fn without_room_at_the_store_only_weights_at_hand_are_loaded() {
+    let mut view = view(
+        vec![engine("e1", &[0], 0.0), engine("e2", &[], 150_000.0)],
+        vec![model("m0", 2.0)],
+    );
+    view.may_load_from_store = false;
+    assert_eq!(choose_move(&view), None);
+    view.engines[1].on_disk.push(0);
+    assert!(choose_move(&view).is_some());
+}
--- a/crates/clementinepond_entry/src/node/fleet_state.rs
+++ b/crates/clementinepond_entry/src/node/fleet_state.rs
@@ -76,10 +76,10 @@
         let after = {
             let state = self.state.borrow();
             let is_small = state.peers.contact(now).1 < SMALL_FLEET;
-            let rank = state
+            let is_watcher = state
                 .peers
-                .watch_rank(&settings.vm, &settings.data_centre, now);
-            if is_small || rank > 0 {
+                .is_watcher(&settings.vm, &settings.data_centre, now);
+            if is_small || !is_watcher {
                 return;
             }
             state.endpoint_revision
@@ -260,7 +260,7 @@
     }
 
     /// Returns how long changes collect: longer in a large fleet, where they
-    /// are many, and longer still at the second watcher, which stands by.
+    /// are many, and a little longer at the second watcher, which stands by.
     pub(crate) fn batch_pause(&self, pause: TimeSpan) -> TimeSpan {
         let settings = self.settings();
         let now = BootClock::now();
@@ -271,7 +271,7 @@
         let rank = state
             .peers
             .watch_rank(&settings.vm, &settings.data_centre, now);
-        pause.fraction(if rank == 0 { 3 } else { 7 }, 1)
+        pause.fraction(if rank == 0 { 3 } else { 4 }, 1)
     }
 
     /// Tells whether this VM watches the store itself.
--- a/crates/clementinepond_entry/src/peer/snapshot.rs
+++ b/crates/clementinepond_entry/src/peer/snapshot.rs
@@ -26,7 +26,7 @@
 use tokio_util::sync::CancellationToken;
 
 /// Time that the VM's own watch gets before a peer is asked.
-const PATIENCE: TimeSpan = TimeSpan::from_millis(350);
+const PATIENCE: TimeSpan = TimeSpan::from_millis(200);
 /// Longest time for a snapshot.
 const CALL_LIMIT: TimeSpan = TimeSpan::from_millis(1_500);
 /// Path of the snapshot.
