--- a/crates/clementinepond_dispatch/src/peer/message.rs
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -53,6 +53,8 @@
     pub configuration: u64,
     /// Revision of the newest change of an endpoint's entry that the VM knows.
     pub directory: u64,
+    /// Bandwidth of the VM's link, in megabits a second.
+    pub link_mbps: u32,
     /// Whether the VM's own calls of the store work, as far as it makes any.
     pub has_store: bool,
     /// Milliseconds since the store last answered this VM's watches.
--- a/crates/clementinepond_dispatch/src/peer/peer_table.rs
+++ b/crates/clementinepond_dispatch/src/peer/peer_table.rs
@@ -23,6 +23,8 @@
 /// partitions that the platform announces.
 const FORGET_AFTER: TimeSpan = TimeSpan::from_secs(25);
 
+/// Link beyond which a VM watches as well as any other, in megabits a second.
+const ENOUGH_LINK_MBPS: u32 = 100;
 /// Key of the line of watchers.
 const WATCH_KEY: u64 = 1;
 
@@ -141,22 +143,44 @@
 
     /// Returns a VM's place in line for watching the store in its data centre,
     /// the same on all VMs that hear each other.
+    ///
+    /// VMs whose links carry the news of a whole data centre come first.
     #[must_use]
-    pub fn watch_rank(&self, me: &VmId, data_centre: &DataCentreId, now: LocalTime) -> usize {
-        let own = rendezvous_weight(WATCH_KEY, me.as_str());
+    pub fn watch_rank(
+        &self,
+        me: &VmId,
+        link_mbps: u32,
+        data_centre: &DataCentreId,
+        now: LocalTime,
+    ) -> usize {
+        let place = |vm: &VmId, link_mbps: u32| {
+            let link = link_mbps.min(ENOUGH_LINK_MBPS);
+            (link, rendezvous_weight(WATCH_KEY, vm.as_str()))
+        };
+        let own = place(me, link_mbps);
         self.heard(now)
             .filter(|(_, peer)| {
                 let news = peer.news.as_ref();
                 news.is_some_and(|news| news.has_store && news.data_centre == *data_centre)
             })
-            .filter(|(vm, _)| rendezvous_weight(WATCH_KEY, vm.as_str()) > own)
+            .filter(|(vm, peer)| {
+                let news = peer.news.as_ref();
+                news.is_some_and(|news| place(vm, news.link_mbps) > own)
+            })
             .count()
     }
 
     /// Tells whether a VM watches the store itself rather than hear of changes.
     #[must_use]
-    pub fn is_watcher(&self, me: &VmId, data_centre: &DataCentreId, now: LocalTime) -> bool {
-        self.peers.len() < SMALL_FLEET || self.watch_rank(me, data_centre, now) < WATCHERS
+    pub fn is_watcher(
+        &self,
+        me: &VmId,
+        link_mbps: u32,
+        data_centre: &DataCentreId,
+        now: LocalTime,
+    ) -> bool {
+        let is_small = self.peers.len() < SMALL_FLEET;
+        is_small || self.watch_rank(me, link_mbps, data_centre, now) < WATCHERS
     }
 
     /// Returns the number of peers that were heard lately, and of all.
--- a/crates/clementinepond_dispatch/src/quota/quota_ledger.rs
+++ b/crates/clementinepond_dispatch/src/quota/quota_ledger.rs
@@ -42,6 +42,7 @@
     /// Units asked here a second, refused ones included.
     asked_per_s: f64,
     asked_at: LocalTime,
+    first_asked_at: LocalTime,
 }
 
 impl AccountUse {
@@ -52,6 +53,7 @@
             admitted: 0.0,
             asked_per_s: 0.0,
             asked_at: now,
+            first_asked_at: now,
         }
     }
 
@@ -67,6 +69,12 @@
     }
 }
 
+/// Time after an account's first request in which a VM of a large fleet cannot
+/// know what others admit; about two rounds of news.
+const BLIND_SPAN: TimeSpan = TimeSpan::from_millis(2_500);
+/// Even parts of the rate that a VM uses in that time.
+const BLIND_SHARES: f64 = 1.5;
+
 /// What this VM tells of one account.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AccountFigures {
@@ -85,6 +93,8 @@
     /// Part of the rate that the VMs in contact may use together.
     refill_part: f64,
     is_large: bool,
+    /// VMs of the fleet.
+    vms: usize,
     /// Units asked a second at the other VMs.
     asked_elsewhere: FnvHashMap<AccountId, f64>,
 }
@@ -97,6 +107,7 @@
             accounts: FnvHashMap::default(),
             refill_part: 1.0,
             is_large: false,
+            vms: 1,
             asked_elsewhere: FnvHashMap::default(),
         }
     }
@@ -104,6 +115,7 @@
     /// Sets the part of each rate that the VMs in contact may use.
     pub fn set_contact(&mut self, heard: usize, known: usize, now: LocalTime) {
         self.is_large = known >= LARGE_FLEET;
+        self.vms = known.max(heard) + 1;
         let part = (heard + 1) as f64 / (known.max(heard) + 1) as f64;
         if part != self.refill_part {
             for account in self.accounts.values_mut() {
@@ -136,13 +148,16 @@
         let is_heavy = own + elsewhere > heavy_share * policy.rate_per_s;
         // While demand is heavy, peers' use is known too late: each VM keeps to
         // its part of the demand.
-        let fraction = if is_heavy {
+        let is_blind = self.is_large && now.since(account.first_asked_at) < BLIND_SPAN;
+        let fraction = if is_blind {
+            (BLIND_SHARES / self.vms as f64).min(1.0)
+        } else if is_heavy {
             own / (own + elsewhere)
         } else {
             1.0
         };
         let share_burst = (policy.burst * fraction).max(SHARE_REQUESTS * units);
-        let caution = if is_heavy && self.is_large {
+        let caution = if is_heavy && self.is_large && !is_blind {
             LARGE_FLEET_PART
         } else {
             1.0
--- a/crates/clementinepond_dispatch/tests/limits.rs
+++ b/crates/clementinepond_dispatch/tests/limits.rs
@@ -133,3 +133,22 @@
         assert!(within(&repeats) as f64 <= allowed, "window from {start}");
     }
 }
+
+#[test]
+fn a_large_fleet_that_has_not_yet_heard_of_itself_stays_near_the_rate() {
+    let policy = account(900_000.0, 900_000.0);
+    let vms = 85;
+    let mut taken = 0.0;
+    for _ in 0..vms {
+        let mut ledger = QuotaLedger::new();
+        ledger.set_contact(vms - 1, vms - 1, at(0));
+        // Each VM asks for six times its even part during the first second.
+        for step in 0..7 {
+            if ledger.charge(&policy, 9_000.0, at(step * 140)) == QuotaVerdict::Within {
+                taken += 9_000.0;
+            }
+        }
+    }
+    let bound = 3.0 * policy.rate_per_s;
+    assert!(taken <= bound, "{taken} of {bound}");
+}
--- /dev/null
+++ b/crates/clementinepond_dispatch/tests/peers.rs
@@ -0,0 +1,122 @@
+//! What a VM knows of its peers.
+
+#![allow(clippy::unwrap_used, reason = "a test stops at the first surprise")]
+
+mod support;
+
+use clementinepond_dispatch::peer::{AccountNews, PeerNews, PeerTable};
+use clementinepond_types::VmId;
+use std::net::SocketAddrV4;
+use support::at;
+
+fn vm(number: usize) -> VmId {
+    format!("vm-{number}").parse().unwrap()
+}
+
+fn address() -> SocketAddrV4 {
+    "10.0.0.1:7600".parse().unwrap()
+}
+
+fn news(number: u64, link_mbps: u32) -> Box<PeerNews> {
+    Box::new(PeerNews {
+        incarnation: 1,
+        number,
+        data_centre: "dc-a".parse().unwrap(),
+        configuration: 3,
+        directory: 7,
+        link_mbps,
+        has_store: true,
+        store_age_ms: 0,
+        duty: None,
+        lapsed_order_age_ms: None,
+        accounts: Vec::new(),
+        loads: Vec::new(),
+        demand: Vec::new(),
+        ejected: Vec::new(),
+    })
+}
+
+/// Makes the tables of a fleet whose VMs all hear each other.
+fn fleet(links: &[u32]) -> Vec<PeerTable> {
+    (0..links.len())
+        .map(|me| {
+            let mut table = PeerTable::default();
+            for (other, &link) in links.iter().enumerate().filter(|(other, _)| *other != me) {
+                table.note_news(&vm(other), address(), news(1, link), at(0));
+            }
+            table
+        })
+        .collect()
+}
+
+fn watchers(tables: &[PeerTable], links: &[u32]) -> Vec<usize> {
+    let home = "dc-a".parse().unwrap();
+    (0..tables.len())
+        .filter(|&me| tables[me].is_watcher(&vm(me), links[me], &home, at(10)))
+        .collect()
+}
+
+#[test]
+fn in_a_small_fleet_every_vm_watches() {
+    let links = [100; 6];
+    assert_eq!(watchers(&fleet(&links), &links).len(), 6);
+}
+
+#[test]
+fn in_a_large_fleet_two_vms_with_wide_links_watch() {
+    let mut links = [10; 30];
+    links[7] = 200;
+    links[21] = 150;
+    links[29] = 50;
+    assert_eq!(watchers(&fleet(&links), &links), [7, 21]);
+}
+
+#[test]
+fn when_a_watcher_loses_the_store_another_vm_takes_its_place() {
+    let links = [100; 30];
+    let mut tables = fleet(&links);
+    let lost = watchers(&tables, &links)[0];
+    for (me, table) in tables.iter_mut().enumerate() {
+        if me != lost {
+            let mut failing = news(2, 100);
+            failing.has_store = false;
+            table.note_news(&vm(lost), address(), failing, at(5));
+        }
+    }
+    let now = watchers(&tables, &links);
+    // The VM itself goes on trying; two others watch.
+    assert_eq!(now.iter().filter(|one| **one != lost).count(), 2);
+}
+
+#[test]
+fn a_silent_peer_is_not_heard_and_later_forgotten() {
+    let mut table = fleet(&[100; 3]).remove(0);
+    assert_eq!(table.contact(at(100)), (2, 2));
+    assert_eq!(table.contact(at(3_000)), (0, 2));
+    assert_eq!(table.sweep(at(30_000)).len(), 2);
+    assert_eq!(table.contact(at(30_000)), (0, 0));
+}
+
+#[test]
+fn late_news_change_nothing_and_a_new_process_counts_from_zero() {
+    let mut table = PeerTable::default();
+    let with = |number: u64, incarnation: u64, admitted: f64| {
+        let mut news = news(number, 100);
+        news.incarnation = incarnation;
+        news.accounts = vec![AccountNews {
+            account: "desk".parse().unwrap(),
+            admitted,
+            asked_per_s: 1.0,
+            level: 5.0,
+        }];
+        news
+    };
+    let mut units = |news: Box<PeerNews>| {
+        let uses = table.note_news(&vm(1), address(), news, at(0));
+        uses.map(|uses| uses[0].units)
+    };
+    assert_eq!(units(with(1, 1, 100.0)), Some(100.0));
+    assert_eq!(units(with(3, 1, 150.0)), Some(50.0));
+    assert_eq!(units(with(2, 1, 120.0)), None);
+    assert_eq!(units(with(1, 2, 30.0)), Some(30.0));
+}
--- a/crates/clementinepond_entry/src/node/contact.rs
+++ b/crates/clementinepond_entry/src/node/contact.rs
@@ -98,6 +98,7 @@
                 .as_ref()
                 .map_or(0, |table| table.policy().version),
             directory: state.endpoint_revision,
+            link_mbps: self.settings().capacity.link(),
             has_store: state.failing_kinds == 0,
             store_age_ms: u32::try_from(now.since(state.store_answered_at).millis())
                 .unwrap_or(u32::MAX),
--- a/crates/clementinepond_entry/src/node/fleet_state.rs
+++ b/crates/clementinepond_entry/src/node/fleet_state.rs
@@ -76,9 +76,12 @@
         let after = {
             let state = self.state.borrow();
             let is_small = state.peers.contact(now).1 < SMALL_FLEET;
-            let is_watcher = state
-                .peers
-                .is_watcher(&settings.vm, &settings.data_centre, now);
+            let is_watcher = state.peers.is_watcher(
+                &settings.vm,
+                settings.capacity.link(),
+                &settings.data_centre,
+                now,
+            );
             if is_small || !is_watcher {
                 return;
             }
@@ -117,10 +120,11 @@
         }
         let gone: Vec<Box<str>> = {
             let state = self.state.borrow();
-            let is_gone = |(name, (known, _)): &(&Box<str>, &(u64, Value))| {
-                *known <= revision && !names.contains(*name)
+            let is_gone = |name: &str, known: u64| {
+                known <= revision && !names.iter().any(|one| **one == *name)
             };
-            let missing = state.endpoint_specs.iter().filter(is_gone);
+            let all = state.endpoint_specs.iter();
+            let missing = all.filter(|(name, (known, _))| is_gone(name, *known));
             missing.map(|(name, _)| name.clone()).collect()
         };
         for name in gone {
@@ -268,9 +272,12 @@
         if state.peers.contact(now).1 < SMALL_FLEET {
             return pause;
         }
-        let rank = state
-            .peers
-            .watch_rank(&settings.vm, &settings.data_centre, now);
+        let rank = state.peers.watch_rank(
+            &settings.vm,
+            settings.capacity.link(),
+            &settings.data_centre,
+            now,
+        );
         pause.fraction(if rank == 0 { 3 } else { 4 }, 1)
     }
 
@@ -278,9 +285,12 @@
     pub(crate) fn is_watcher(&self, now: LocalTime) -> bool {
         let settings = self.settings();
         let state = self.state.borrow();
-        state
-            .peers
-            .is_watcher(&settings.vm, &settings.data_centre, now)
+        state.peers.is_watcher(
+            &settings.vm,
+            settings.capacity.link(),
+            &settings.data_centre,
+            now,
+        )
     }
 
     pub(crate) fn note_store_answer(&self, now: LocalTime) {
--- a/crates/clementinepond_entry/src/settings/entry_settings.rs
+++ b/crates/clementinepond_entry/src/settings/entry_settings.rs
@@ -103,6 +103,15 @@
     pub capacity: CapacitySettings,
 }
 
+impl CapacitySettings {
+    /// Returns the bandwidth of the link in whole megabits a second; a VM that
+    /// states none has enough.
+    #[must_use]
+    pub fn link(&self) -> u32 {
+        self.link_mbps.map_or(u32::MAX, |mbps| mbps as u32)
+    }
+}
+
 impl OrderSettings {
     /// Returns the gap between two holders.
     #[must_use]
