--- a/crates/clementinepond_dispatch/src/place/planner.rs
+++ b/crates/clementinepond_dispatch/src/place/planner/mod.rs
@@ -1,48 +1,33 @@
 //! The holder's state: one order book an endpoint, the moves under way and
 //! the adapters that requests wait for.
 
-use super::choose::{choose_move, load_time};
-use super::demand::work_of;
-use super::order::{EndpointOrder, EndpointStatus, OrderReply, SentOrder};
-use super::order_book::{AdapterPhase, HeldAdapter, OrderBook};
-use super::view::{EngineView, ModelView, PlacementView};
+mod adapters;
+mod moves;
+
 use crate::fleet::{EndpointEntry, EnginePolicy};
 use crate::ledger::EndpointKey;
 use crate::peer::{AdapterPlace, ModelDemand, PlacementNews};
+use crate::place::order::{EndpointOrder, EndpointStatus, OrderReply, SentOrder};
+use crate::place::order_book::{AdapterPhase, HeldAdapter, OrderBook};
 use clementinepond_types::{AdapterId, EndpointId, LocalTime, ModelId, TimeSpan, VmId};
 use fnv::FnvHashMap;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
-/// Time between the announcement that a copy closes and its unload; covers
-/// the news' way to all VMs.
-const CLOSING_NOTICE: TimeSpan = TimeSpan::from_millis(300);
 /// Time that orders of a move take beside the load itself.
 const ORDER_TIME: TimeSpan = TimeSpan::from_millis(300);
 /// Time between two searches for moves.
 const MOVE_INTERVAL: TimeSpan = TimeSpan::from_millis(250);
-/// Moves started in one search at most.
-const MOVES_A_SEARCH: usize = 4;
-/// Time for which a model without a copy may just be on its way back: endpoints
-/// list themselves within a heartbeat of their start.
-const LOST_PATIENCE: TimeSpan = TimeSpan::from_millis(2_500);
-/// The same when requests ask for the model.
-const WANTED_PATIENCE: TimeSpan = TimeSpan::from_millis(250);
 /// Time between two readings of an endpoint's status.
 const STATUS_INTERVAL: TimeSpan = TimeSpan::from_millis(200);
 /// Age of an accepted order up to which a status may not show it yet.
 const STATUS_LAG: TimeSpan = TimeSpan::from_millis(500);
 /// Time from an accepted adapter load to its use; the adapters' usual load time.
 const ADAPTER_LOAD: TimeSpan = TimeSpan::from_millis(14);
-/// Time after its last request for which an adapter is not displaced: an adapter
-/// that a stream still uses blocks all further orders until the stream ends.
-const ADAPTER_REST: TimeSpan = TimeSpan::from_millis(2_500);
 /// Time after which a wait for an adapter is dropped; callers have gone elsewhere.
 const ADAPTER_PATIENCE: TimeSpan = TimeSpan::from_millis(1_500);
 /// Loads from the weight store that may be saved up.
 const STORE_LOAD_BURST: f64 = 3.0;
-/// Seconds of the store's load rate that may be on their way at once.
-const STORE_LOAD_SECONDS: f64 = 3.7;
 
 /// What the holder asks its edge to do.
 #[derive(Debug, Clone, PartialEq)]
@@ -371,296 +356,6 @@
         }
     }
 
-    fn carry_adapters(
-        &mut self,
-        input: &PlannerInput<'_>,
-        now: LocalTime,
-        effects: &mut Vec<PlannerEffect>,
-    ) {
-        let waits = std::mem::take(&mut self.waits);
-        for wait in waits {
-            let Some((entry, _)) = input
-                .endpoints
-                .iter()
-                .find(|(entry, is_usable)| entry.id == wait.endpoint && *is_usable)
-            else {
-                continue;
-            };
-            if entry.hosted(&wait.model).is_none() {
-                continue;
-            }
-            let order = match self.adapter_step(input.policy, &wait, now) {
-                AdapterStep::Ready => {
-                    let place = AdapterPlace {
-                        endpoint: EndpointKey::of(wait.endpoint.as_str()),
-                        adapter: adapter_key(&wait.model, &wait.adapter),
-                    };
-                    for vm in wait.vms {
-                        let place = place.clone();
-                        effects.push(PlannerEffect::AdapterReady { vm, place });
-                    }
-                    continue;
-                }
-                AdapterStep::Wait => {
-                    self.waits.push(wait);
-                    continue;
-                }
-                AdapterStep::Order(order) => order,
-            };
-            effects.extend(self.send(entry, order, input.fence, now));
-            self.waits.push(wait);
-        }
-    }
-
-    fn adapter_step(
-        &mut self,
-        policy: &EnginePolicy,
-        wait: &AdapterWait,
-        now: LocalTime,
-    ) -> AdapterStep {
-        let Some(book) = self.books.get_mut(&wait.endpoint) else {
-            return AdapterStep::Wait;
-        };
-        let key = (wait.model.clone(), wait.adapter.clone());
-        match book.adapters.get_mut(&key) {
-            Some(held) if held.phase != AdapterPhase::Unloading => {
-                held.used_at = now;
-                if now < held.ready_at {
-                    return AdapterStep::Wait;
-                }
-                held.phase = AdapterPhase::Loaded;
-                return AdapterStep::Ready;
-            }
-            _ => {}
-        }
-        let is_busy = book.loading.is_some() || book.unloading.is_some();
-        if !book.is_idle(now) || book.order_count.is_none() || is_busy {
-            return AdapterStep::Wait;
-        }
-        if book.adapter_slots_taken() < policy.adapter_slots as usize {
-            return AdapterStep::Order(EndpointOrder::LoadAdapter(key.0, key.1));
-        }
-        let victim = book
-            .adapters
-            .iter()
-            .filter(|(_, held)| held.phase != AdapterPhase::Unloading && now >= held.ready_at)
-            .filter(|(_, held)| now.since(held.used_at) > ADAPTER_REST)
-            .min_by_key(|(_, held)| held.used_at)
-            .map(|((model, adapter), _)| (model.clone(), adapter.clone()));
-        match victim {
-            Some((model, adapter)) => {
-                AdapterStep::Order(EndpointOrder::UnloadAdapter(model, adapter))
-            }
-            None => AdapterStep::Wait,
-        }
-    }
-
-    fn carry_moves(
-        &mut self,
-        input: &PlannerInput<'_>,
-        now: LocalTime,
-        effects: &mut Vec<PlannerEffect>,
-    ) {
-        let ids: Vec<EndpointId> = self.moves.keys().cloned().collect();
-        for id in ids {
-            let Some((entry, is_usable)) = input.endpoints.iter().find(|(entry, _)| entry.id == id)
-            else {
-                continue;
-            };
-            if !is_usable {
-                self.moves.remove(&id);
-                continue;
-            }
-            if let Some(order) = self.move_step(input.policy, entry, now) {
-                effects.extend(self.send(entry, order, input.fence, now));
-            }
-        }
-    }
-
-    /// Returns the next order of a move; forgets a move that is complete.
-    fn move_step(
-        &mut self,
-        policy: &EnginePolicy,
-        entry: &EndpointEntry,
-        now: LocalTime,
-    ) -> Option<EndpointOrder> {
-        let task = self.moves.get(&entry.id)?;
-        if entry.hosted(&task.load).is_some() {
-            self.moves.remove(&entry.id);
-            return None;
-        }
-        let book = self.books.get(&entry.id)?;
-        let is_under_way = book.loading.is_some() || book.unloading.is_some();
-        if is_under_way || !book.is_idle(now) || book.order_count.is_none() {
-            return None;
-        }
-        if now < task.unload_from {
-            return None;
-        }
-        let leftover = task
-            .unload
-            .iter()
-            .find(|model| entry.hosted(model).is_some());
-        if let Some(model) = leftover {
-            return Some(EndpointOrder::UnloadModel(model.clone()));
-        }
-        let needed = policy
-            .model(&task.load)
-            .map_or(0.0, |model| model.weights_mb);
-        if free_mb(policy, entry, book) < needed {
-            self.moves.remove(&entry.id);
-            return None;
-        }
-        if task.from_store && !task.is_charged {
-            if self.store_credit < 1.0 {
-                return None;
-            }
-            self.store_credit -= 1.0;
-        }
-        let load = task.load.clone();
-        if let Some(task) = self.moves.get_mut(&entry.id) {
-            task.is_charged = true;
-        }
-        Some(EndpointOrder::LoadModel(load))
-    }
-
-    /// Notes since when each model has been without a copy.
-    fn note_lost(&mut self, input: &PlannerInput<'_>, now: LocalTime) {
-        for profile in &input.policy.models {
-            let is_held = input
-                .endpoints
-                .iter()
-                .any(|(entry, is_usable)| *is_usable && entry.hosted(&profile.id).is_some());
-            if is_held {
-                self.lost_since.remove(&profile.id);
-            } else {
-                self.lost_since.entry(profile.id.clone()).or_insert(now);
-            }
-        }
-    }
-
-    fn search_moves(
-        &mut self,
-        input: &PlannerInput<'_>,
-        now: LocalTime,
-        effects: &mut Vec<PlannerEffect>,
-    ) {
-        for _ in 0..MOVES_A_SEARCH {
-            let view = self.view(input, now);
-            let Some(chosen) = choose_move(&view) else {
-                return;
-            };
-            let endpoint = view.engines[chosen.engine].id.clone();
-            let model = &view.models[chosen.load];
-            let unload: Vec<ModelId> = chosen
-                .unload
-                .iter()
-                .map(|&index| view.models[index].id.clone())
-                .collect();
-            let unload_from = if unload.is_empty() {
-                now
-            } else {
-                now + CLOSING_NOTICE
-            };
-            effects.push(PlannerEffect::MoveStarted {
-                endpoint: endpoint.clone(),
-                unload: unload.clone(),
-                load: model.id.clone(),
-                crowding_milli: (model.work * 1e3) as u64,
-                from_store: chosen.from_store,
-            });
-            let task = MoveTask {
-                unload,
-                load: model.id.clone(),
-                from_store: chosen.from_store,
-                is_charged: false,
-                load_time: load_time(&view.engines[chosen.engine], chosen.load, model.load_times),
-                unload_from,
-            };
-            self.moves.insert(endpoint, task);
-        }
-    }
-
-    fn view(&self, input: &PlannerInput<'_>, now: LocalTime) -> PlacementView {
-        let index_of = |id: &ModelId| input.policy.models.iter().position(|one| one.id == *id);
-        let is_patient = |id: &ModelId, is_wanted: bool| {
-            let patience = if is_wanted {
-                WANTED_PATIENCE
-            } else {
-                LOST_PATIENCE
-            };
-            let since = self.lost_since.get(id);
-            since.is_none_or(|at| now.since(*at) < patience)
-        };
-        let models = input.policy.models.iter().map(|profile| {
-            let demand = input.demand.get(&EndpointKey::of(profile.id.as_str()));
-            ModelView {
-                id: profile.id.clone(),
-                weights_mb: profile.weights_mb,
-                work: demand.copied().map_or(0.0, work_of),
-                is_wanted: demand.is_some(),
-                is_awaited: is_patient(&profile.id, demand.is_some()),
-                load_times: [profile.store_load, profile.disk_load, profile.memory_load],
-            }
-        });
-        let models: Vec<ModelView> = models.collect();
-        let engines = input.endpoints.iter().filter_map(|(entry, is_usable)| {
-            let book = self.books.get(&entry.id)?;
-            Some(self.engine_view(input.policy, entry, *is_usable, book, &index_of, now))
-        });
-        let store_loads = self.moves.values().filter(|task| task.from_store).count();
-        let at_once = (input.policy.loads_per_s * STORE_LOAD_SECONDS).max(1.0);
-        let is_unlimited = input.policy.loads_per_s <= 0.0;
-        PlacementView {
-            engines: engines.collect(),
-            models,
-            may_load_from_store: is_unlimited || (store_loads as f64) < at_once,
-        }
-    }
-
-    fn engine_view(
-        &self,
-        policy: &EnginePolicy,
-        entry: &EndpointEntry,
-        is_usable: bool,
-        book: &OrderBook,
-        index_of: &dyn Fn(&ModelId) -> Option<usize>,
-        now: LocalTime,
-    ) -> EngineView {
-        let task = self.moves.get(&entry.id);
-        let is_closing = |id: &ModelId| task.is_some_and(|task| task.unload.contains(id));
-        let age = |id: &ModelId| {
-            book.seen_since
-                .get(id)
-                .map_or(TimeSpan::ZERO, |at| now.since(*at))
-        };
-        let models: Vec<(usize, TimeSpan)> = entry
-            .models
-            .iter()
-            .filter(|hosted| !is_closing(&hosted.id))
-            .filter_map(|hosted| Some((index_of(&hosted.id)?, age(&hosted.id))))
-            .collect();
-        let held = book.possible(entry);
-        let staying = held.iter().filter(|id| !is_closing(id));
-        let mut possible: Vec<usize> = staying.filter_map(index_of).collect();
-        possible.extend(task.and_then(|task| index_of(&task.load)));
-        possible.sort_unstable();
-        possible.dedup();
-        EngineView {
-            id: entry.id.clone(),
-            is_usable,
-            is_moving: task.is_some()
-                || book.loading.is_some()
-                || book.unloading.is_some()
-                || book.needs_status(entry),
-            free_mb: free_mb(policy, entry, book),
-            models,
-            possible,
-            in_memory: entry.in_memory.iter().filter_map(index_of).collect(),
-            on_disk: entry.on_disk.iter().filter_map(index_of).collect(),
-        }
-    }
-
     fn send(
         &mut self,
         entry: &EndpointEntry,
@@ -684,25 +379,6 @@
     }
 }
 
-enum AdapterStep {
-    Ready,
-    Wait,
-    Order(EndpointOrder),
-}
-
-/// Returns the memory that stays free whatever became of earlier orders.
-fn free_mb(policy: &EnginePolicy, entry: &EndpointEntry, book: &OrderBook) -> f64 {
-    let size = |id: &ModelId| policy.model(id).map_or(0.0, |model| model.weights_mb);
-    let held: f64 = book.possible(entry).iter().map(size).sum();
-    let largest_adapter = policy
-        .models
-        .iter()
-        .map(|model| model.adapter_mb)
-        .fold(0.0, f64::max);
-    let adapters = f64::from(policy.adapter_slots) * largest_adapter;
-    policy.weights_mb - adapters - held
-}
-
 /// Returns the short name of an adapter of a model.
 #[must_use]
 pub fn adapter_key(model: &ModelId, adapter: &AdapterId) -> EndpointKey {
--- /dev/null
+++ b/crates/clementinepond_entry/src/caller/crash_probe.rs
@@ -0,0 +1,34 @@
+//! Telling a crashed endpoint from a lost connection.
+
+use crate::clock::BootClock;
+use crate::http::{ConnectFailure, open_connection};
+use crate::node::{EntryNode, PickedEndpoint};
+use clementinepond_dispatch::peer::PeerMessage;
+use clementinepond_types::TimeSpan;
+use std::rc::Rc;
+
+/// Longest time for telling a crashed endpoint from a lost connection.
+const CRASH_PROBE: TimeSpan = TimeSpan::from_millis(250);
+
+/// Holds a crash against a request when its endpoint went down with it.
+pub(crate) fn suspect_crash(node: &Rc<EntryNode>, fingerprint: u64, picked: &PickedEndpoint) {
+    let node = Rc::clone(node);
+    let address = picked.address;
+    let id = picked.id.clone();
+    tokio::task::spawn_local(async move {
+        let probe = open_connection(address, CRASH_PROBE).await;
+        if !matches!(probe, Err(ConnectFailure::Refused)) {
+            return;
+        }
+        let now = BootClock::now();
+        let count = node
+            .state
+            .borrow_mut()
+            .suspects
+            .note_crash(fingerprint, now);
+        log::info!(
+            "event=crash_suspected endpoint={id} fingerprint={fingerprint:016x} count={count}"
+        );
+        node.broadcast(PeerMessage::Crash { fingerprint });
+    });
+}
--- a/crates/clementinepond_entry/src/caller/mod.rs
+++ b/crates/clementinepond_entry/src/caller/mod.rs
@@ -2,11 +2,13 @@
 
 mod answer_body;
 mod connection;
+mod crash_probe;
 mod event_reader;
 mod gate;
 mod readiness;
 mod refusal;
 mod relay;
+mod send_outcome;
 mod serve_request;
 mod stream;
 mod unary;
--- a/crates/clementinepond_entry/src/caller/relay.rs
+++ b/crates/clementinepond_entry/src/caller/relay.rs
@@ -1,14 +1,15 @@
 //! Finding an endpoint that answers.
 
+use super::crash_probe::suspect_crash;
 use super::gate::AdmittedRequest;
 use super::refusal::OwnAnswer;
+use super::send_outcome::SendOutcome;
 use crate::clock::BootClock;
 use crate::endpoint::{Attempt, AttemptAnswer, AttemptFailure, ReuseRule, start_attempt};
-use crate::http::{ConnectFailure, open_connection};
+use crate::http::ConnectFailure;
 use crate::node::{EntryNode, PickQuery, PickedEndpoint, RefusalCause, increment};
 use clementinepond_dispatch::health::EndpointOutcome;
 use clementinepond_dispatch::ledger::EndpointKey;
-use clementinepond_dispatch::peer::PeerMessage;
 use clementinepond_platform::AttemptHeaders;
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
 use hyper::StatusCode;
@@ -48,8 +49,6 @@
 const DEFERRED_TARGET: TimeSpan = TimeSpan::from_millis(1_500);
 /// Rank of the most urgent requests; leaves room for more urgent ones.
 const FIRST_RANK: u8 = 2;
-/// Longest time for telling a crashed endpoint from a lost connection.
-const CRASH_PROBE: TimeSpan = TimeSpan::from_millis(250);
 
 /// An answer that has begun.
 #[derive(Debug)]
@@ -472,50 +471,7 @@
     }
 }
 
-#[derive(Debug)]
-enum SendOutcome {
-    Answered(Box<AttemptAnswer>),
-    Failed(AttemptFailure),
-    Silent,
-    TimedOut,
-}
-
-impl SendOutcome {
-    const fn name(&self) -> &'static str {
-        match self {
-            Self::Answered(_) => "answered",
-            Self::Failed(AttemptFailure::Foreign) => "foreign",
-            Self::Failed(_) => "broken",
-            Self::Silent => "silent",
-            Self::TimedOut => "timed_out",
-        }
-    }
-}
-
 /// Tells whether the endpoint states that the request has not run.
 fn is_refusal(answer: &AttemptAnswer) -> bool {
     answer.mark.is_not_run || answer.response.status() == StatusCode::MISDIRECTED_REQUEST
 }
-
-/// Holds a crash against a request when its endpoint went down with it.
-pub(crate) fn suspect_crash(node: &Rc<EntryNode>, fingerprint: u64, picked: &PickedEndpoint) {
-    let node = Rc::clone(node);
-    let address = picked.address;
-    let id = picked.id.clone();
-    tokio::task::spawn_local(async move {
-        let probe = open_connection(address, CRASH_PROBE).await;
-        if !matches!(probe, Err(ConnectFailure::Refused)) {
-            return;
-        }
-        let now = BootClock::now();
-        let count = node
-            .state
-            .borrow_mut()
-            .suspects
-            .note_crash(fingerprint, now);
-        log::info!(
-            "event=crash_suspected endpoint={id} fingerprint={fingerprint:016x} count={count}"
-        );
-        node.broadcast(PeerMessage::Crash { fingerprint });
-    });
-}
--- a/crates/clementinepond_entry/src/caller/stream.rs
+++ b/crates/clementinepond_entry/src/caller/stream.rs
@@ -1,10 +1,11 @@
 //! Streams, passed on as they arrive.
 
 use super::answer_body::{AnswerBody, BrokenAnswer};
+use super::crash_probe::suspect_crash;
 use super::event_reader::EventReader;
 use super::gate::{AdmittedRequest, is_resumable};
 use super::refusal::OwnAnswer;
-use super::relay::{BegunAnswer, EndpointSearch, suspect_crash};
+use super::relay::{BegunAnswer, EndpointSearch};
 use super::unary::{ReadFailure, caller_headers, note_end, read_whole};
 use crate::clock::BootClock;
 use crate::node::{EntryNode, PickedEndpoint};
