--- a/crates/clementinepond_dispatch/src/directory/mod.rs
+++ b/crates/clementinepond_dispatch/src/directory/mod.rs
@@ -5,6 +5,10 @@
 //! short while, since entries lapse while the store is away and come back
 //! after its return.
 
+mod revision_guard;
+
+pub use revision_guard::RevisionGuard;
+
 use crate::fleet::{EndpointEntry, EndpointPhase, ServiceId};
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
 use fnv::{FnvHashMap, FnvHashSet};
--- a/crates/clementinepond_dispatch/tests/directory.rs
+++ b/crates/clementinepond_dispatch/tests/directory.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use clementinepond_dispatch::directory::{EndpointChange, EndpointDirectory};
+use clementinepond_dispatch::directory::{EndpointChange, EndpointDirectory, RevisionGuard};
 use clementinepond_dispatch::fleet::{EndpointPhase, ServiceId};
 use clementinepond_types::TimeSpan;
 use support::{at, entry};
@@ -73,3 +73,17 @@
     let known = directory.get(&"e1".parse().unwrap()).unwrap();
     assert!(known.entry.hosted(&support::model("m1")).is_some());
 }
+
+#[test]
+fn an_older_change_that_comes_after_a_deletion_brings_nothing_back() {
+    let mut guard = RevisionGuard::default();
+    assert!(guard.accept("e1", 1_158));
+    // The deletion.
+    assert!(guard.accept("e1", 1_165));
+    assert!(!guard.accept("e1", 1_158));
+    assert!(!guard.accept("e1", 1_165));
+    assert!(guard.is_outdated("e1", 1_158));
+    // A new life under the same name.
+    assert!(!guard.is_outdated("e1", 1_170));
+    assert!(guard.accept("e1", 1_170));
+}
--- a/crates/clementinepond_entry/src/node/entry_node.rs
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -7,7 +7,7 @@
 use crate::settings::EntrySettings;
 use crate::store::WatchTarget;
 use clementinepond_dispatch::budget::RetryBudget;
-use clementinepond_dispatch::directory::EndpointDirectory;
+use clementinepond_dispatch::directory::{EndpointDirectory, RevisionGuard};
 use clementinepond_dispatch::fleet::ServiceId;
 use clementinepond_dispatch::health::HealthTable;
 use clementinepond_dispatch::lease::DutyLease;
@@ -41,6 +41,8 @@
     pub(crate) directory: EndpointDirectory,
     /// Endpoints' entries as the store holds them, for peers.
     pub(crate) endpoint_specs: BTreeMap<Box<str>, (u64, Value)>,
+    /// Newest revision seen of each endpoint's entry.
+    pub(crate) entry_revisions: RevisionGuard,
     /// Revision of the newest change of an endpoint's entry.
     pub(crate) endpoint_revision: u64,
     pub(crate) health: HealthTable,
@@ -95,6 +97,7 @@
             configuration_revision: 0,
             directory: EndpointDirectory::default(),
             endpoint_specs: BTreeMap::new(),
+            entry_revisions: RevisionGuard::default(),
             endpoint_revision: 0,
             health: HealthTable::default(),
             loads: LoadLedger::default(),
--- a/crates/clementinepond_entry/src/node/fleet_state.rs
+++ b/crates/clementinepond_entry/src/node/fleet_state.rs
@@ -118,19 +118,21 @@
         for object in changed {
             self.take_endpoint(object, "peer", now);
         }
-        let gone: Vec<Box<str>> = {
+        let gone: Vec<(Box<str>, u64)> = {
             let state = self.state.borrow();
             let is_gone = |name: &str, known: u64| {
                 known <= revision && !names.iter().any(|one| **one == *name)
             };
             let all = state.endpoint_specs.iter();
             let missing = all.filter(|(name, (known, _))| is_gone(name, *known));
-            missing.map(|(name, _)| name.clone()).collect()
+            let named = missing.map(|(name, (known, _))| (name.clone(), *known));
+            named.collect()
         };
-        for name in gone {
+        for (name, known) in gone {
             let object = StoreObject {
                 name,
-                revision,
+                // The deletion's own revision is not told; it follows the last change.
+                revision: known + 1,
                 is_deleted: true,
                 spec: Value::Null,
             };
@@ -181,6 +183,13 @@
         let mut state = self.state.borrow_mut();
         state.endpoint_specs.clear();
         for object in page.objects {
+            if state
+                .entry_revisions
+                .is_outdated(&object.name, object.revision)
+            {
+                continue;
+            }
+            state.entry_revisions.accept(&object.name, object.revision);
             match read_endpoint(&object.name, &object.spec) {
                 Ok(entry) => entries.push(entry),
                 Err(error) => log::warn!(
@@ -204,8 +213,7 @@
 
     fn take_endpoint(&self, object: StoreObject, source: &str, now: LocalTime) {
         let mut state = self.state.borrow_mut();
-        let known = state.endpoint_specs.get(&object.name);
-        if known.is_some_and(|(revision, _)| *revision >= object.revision) {
+        if !state.entry_revisions.accept(&object.name, object.revision) {
             return;
         }
         if object.is_deleted {
