--- a/crates/clementinepond/src/command/entry_log_event.rs
+++ b/crates/clementinepond/src/command/entry_log_event.rs
@@ -187,7 +187,7 @@
     ),
     event(
         "request_ended",
-        "request route service account endpoint outcome status reason endpoints waited_ms duration_ms configuration",
+        "request route service model account endpoint outcome status reason endpoints waited_ms predicted_ms first_ms pause_ms duration_ms configuration",
         "a request ended",
     ),
     event(
--- a/crates/clementinepond_entry/src/caller/mod.rs
+++ b/crates/clementinepond_entry/src/caller/mod.rs
@@ -8,6 +8,7 @@
 mod readiness;
 mod refusal;
 mod relay;
+mod request_end;
 mod send_outcome;
 mod serve_request;
 mod stream;
--- /dev/null
+++ b/crates/clementinepond_entry/src/caller/request_end.rs
@@ -0,0 +1,67 @@
+//! The log line at the end of a request that reached an endpoint.
+
+use super::gate::AdmittedRequest;
+use crate::clock::BootClock;
+use crate::node::{EntryNode, increment};
+use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
+use derive_more::Display;
+
+/// How a request ended at the endpoint that it was last sent to.
+#[derive(Debug)]
+pub(super) struct RequestEnd<'a> {
+    pub(super) endpoint: &'a EndpointId,
+    pub(super) status: u16,
+    pub(super) outcome: &'static str,
+    pub(super) sent_at: LocalTime,
+    /// Endpoints that the request was sent to.
+    pub(super) sent: u32,
+    pub(super) pace: Option<StreamPace>,
+}
+
+/// Predicted and measured times of one stream.
+#[derive(Debug, Display, Clone, Copy)]
+#[display(
+    "predicted_ms={} first_ms={} pause_ms={}",
+    predicted.millis(),
+    first_piece.map_or(-1, |span| i64::try_from(span.millis()).unwrap_or(i64::MAX)),
+    longest_pause.millis()
+)]
+pub(super) struct StreamPace {
+    /// Time to the first token that the choice of the engine predicted.
+    pub(super) predicted: TimeSpan,
+    /// Time from the sending to the first piece.
+    pub(super) first_piece: Option<TimeSpan>,
+    /// Longest time between two pieces.
+    pub(super) longest_pause: TimeSpan,
+}
+
+impl RequestEnd<'_> {
+    /// Counts and logs the end.
+    pub(super) fn note(&self, node: &EntryNode, request: &AdmittedRequest) {
+        let counter = if self.outcome == "answered" && self.status < 500 {
+            &node.stats.answered
+        } else {
+            &node.stats.failed
+        };
+        increment(counter);
+        let now = BootClock::now();
+        let target = request.profile.target.as_ref();
+        log::info!(
+            "event=request_ended request={} route={} service={} model={} account={} endpoint={} outcome={} status={} endpoints={} waited_ms={} {} duration_ms={} configuration={}",
+            request.profile.id.as_ref().map_or("-", |id| id.as_str()),
+            request.route.name,
+            request.service,
+            target.map_or("-", |target| target.model.as_str()),
+            request.account.as_ref().map_or("-", |id| id.as_str()),
+            self.endpoint,
+            self.outcome,
+            self.status,
+            self.sent,
+            self.sent_at.since(request.arrival).millis(),
+            self.pace
+                .map_or_else(String::new, |pace| pace.to_string()),
+            now.since(request.arrival).millis(),
+            request.table.policy().version,
+        );
+    }
+}
--- a/crates/clementinepond_entry/src/caller/stream.rs
+++ b/crates/clementinepond_entry/src/caller/stream.rs
@@ -6,12 +6,13 @@
 use super::gate::{AdmittedRequest, is_resumable};
 use super::refusal::OwnAnswer;
 use super::relay::{BegunAnswer, EndpointSearch};
-use super::unary::{ReadFailure, caller_headers, note_end, read_whole};
+use super::request_end::{RequestEnd, StreamPace};
+use super::unary::{ReadFailure, caller_headers, read_whole};
 use crate::clock::BootClock;
 use crate::node::{EntryNode, PickedEndpoint};
 use bytes::Bytes;
 use clementinepond_dispatch::health::EndpointOutcome;
-use clementinepond_types::LocalTime;
+use clementinepond_types::{LocalTime, TimeSpan};
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -41,6 +42,11 @@
         pieces,
         events: EventReader::default(),
         has_begun: false,
+        pace: StreamPace {
+            predicted: begun.picked.predicted,
+            first_piece: None,
+            longest_pause: TimeSpan::ZERO,
+        },
     };
     tokio::task::spawn_local(relay.run(begun));
     let mut response = Response::new(AnswerBody::Relayed(body));
@@ -61,15 +67,15 @@
     let sent_at = begun.sent_at;
     match read_whole(node, request, begun.answer, begun.picked).await {
         Ok((headers, body)) => {
-            note_end(
-                node,
-                request,
-                &id,
-                status.as_u16(),
-                "answered",
+            let end = RequestEnd {
+                endpoint: &id,
+                status: status.as_u16(),
+                outcome: "answered",
                 sent_at,
-                search.sent(),
-            );
+                sent: search.sent(),
+                pace: None,
+            };
+            end.note(node, request);
             let mut response = Response::new(AnswerBody::whole(body));
             *response.status_mut() = status;
             *response.headers_mut() = headers;
@@ -109,6 +115,7 @@
     pieces: mpsc::Sender<Result<Bytes, BrokenAnswer>>,
     events: EventReader,
     has_begun: bool,
+    pace: StreamPace,
 }
 
 impl StreamRelay {
@@ -132,15 +139,15 @@
                 }
                 RelayEnd::CallerLeft | RelayEnd::TimedOut => {}
             }
-            note_end(
-                &self.node,
-                &self.request,
-                &id,
-                200,
-                end.name(),
+            let note = RequestEnd {
+                endpoint: &id,
+                status: 200,
+                outcome: end.name(),
                 sent_at,
                 sent,
-            );
+                pace: Some(self.pace),
+            };
+            note.note(&self.node, &self.request);
             if matches!(end, RelayEnd::Broken | RelayEnd::TimedOut) {
                 // The caller may have left; then there is nobody to tell.
                 let _ = self.pieces.send(Err(BrokenAnswer)).await;
@@ -187,7 +194,7 @@
     ) -> RelayEnd {
         let left = BootClock::now().until(self.request.deadline);
         let mut deadline = std::pin::pin!(tokio::time::sleep(left.duration()));
-        let mut is_first = true;
+        let mut last_piece = None;
         loop {
             let frame = tokio::select! {
                 biased;
@@ -203,8 +210,13 @@
                     Err(_) => continue,
                 },
             };
-            if std::mem::take(&mut is_first) {
-                self.note_first_piece(picked, sent_at);
+            let now = BootClock::now();
+            match last_piece.replace(now) {
+                None => self.note_first_piece(picked, sent_at, now),
+                Some(before) => {
+                    let pause = now.since(before);
+                    self.pace.longest_pause = self.pace.longest_pause.max(pause);
+                }
             }
             let Some(piece) = self.whole_events(piece) else {
                 continue;
@@ -239,11 +251,11 @@
         RelayEnd::Complete
     }
 
-    fn note_first_piece(&mut self, picked: &PickedEndpoint, sent_at: LocalTime) {
+    fn note_first_piece(&mut self, picked: &PickedEndpoint, sent_at: LocalTime, now: LocalTime) {
         picked.guard.note_first_token();
-        let now = BootClock::now();
-        self.node
-            .note_pace(&picked.id, picked.predicted, now.since(sent_at));
+        let measured = now.since(sent_at);
+        self.pace.first_piece.get_or_insert(measured);
+        self.node.note_pace(&picked.id, picked.predicted, measured);
         if !std::mem::replace(&mut self.has_begun, true) {
             let waited = now.since(self.request.arrival);
             self.node.stats.first_byte.record(waited.millis());
--- a/crates/clementinepond_entry/src/caller/unary.rs
+++ b/crates/clementinepond_entry/src/caller/unary.rs
@@ -4,13 +4,13 @@
 use super::gate::AdmittedRequest;
 use super::refusal::OwnAnswer;
 use super::relay::{BegunAnswer, EndpointSearch};
+use super::request_end::RequestEnd;
 use crate::clock::BootClock;
 use crate::endpoint::AttemptAnswer;
-use crate::node::{EntryNode, PickedEndpoint, increment};
+use crate::node::{EntryNode, PickedEndpoint};
 use bytes::Bytes;
 use clementinepond_dispatch::health::EndpointOutcome;
 use clementinepond_platform::is_hop_header;
-use clementinepond_types::{EndpointId, LocalTime};
 use http_body_util::{BodyExt, Limited};
 use hyper::Response;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
@@ -41,15 +41,15 @@
                     node.note_outcome(&id, EndpointOutcome::Success);
                     node.note_work(&id, measured);
                 }
-                note_end(
-                    node,
-                    request,
-                    &id,
-                    status.as_u16(),
-                    "answered",
+                let end = RequestEnd {
+                    endpoint: &id,
+                    status: status.as_u16(),
+                    outcome: "answered",
                     sent_at,
-                    search.sent(),
-                );
+                    sent: search.sent(),
+                    pace: None,
+                };
+                end.note(node, request);
                 let mut response = Response::new(AnswerBody::whole(body));
                 *response.status_mut() = status;
                 *response.headers_mut() = headers;
@@ -105,32 +105,3 @@
     }
     kept
 }
-
-/// Counts and logs an answer's end.
-pub(super) fn note_end(
-    node: &EntryNode,
-    request: &AdmittedRequest,
-    endpoint: &EndpointId,
-    status: u16,
-    outcome: &str,
-    sent_at: LocalTime,
-    sent: u32,
-) {
-    let counter = if outcome == "answered" && status < 500 {
-        &node.stats.answered
-    } else {
-        &node.stats.failed
-    };
-    increment(counter);
-    let now = BootClock::now();
-    log::info!(
-        "event=request_ended request={} route={} service={} account={} endpoint={endpoint} outcome={outcome} status={status} endpoints={sent} waited_ms={} duration_ms={} configuration={}",
-        request.profile.id.as_ref().map_or("-", |id| id.as_str()),
-        request.route.name,
-        request.service,
-        request.account.as_ref().map_or("-", |id| id.as_str()),
-        sent_at.since(request.arrival).millis(),
-        now.since(request.arrival).millis(),
-        request.table.policy().version,
-    );
-}
