--- a/crates/clementinepond_dispatch/src/fleet/request.rs
+++ b/crates/clementinepond_dispatch/src/fleet/request.rs
@@ -1,6 +1,7 @@
 //! Requests as callers declare them.
 
 use clementinepond_types::{AdapterId, ModelId, RequestId, TimeSpan};
+use serde::{Deserialize, Serialize};
 
 /// Model, and adapter where one is named.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -29,7 +30,7 @@
 }
 
 /// One part of a prompt; equal identities stand for equal text.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptPart {
     /// Identity.
     pub id: u64,
--- a/crates/clementinepond_dispatch/src/ledger/load_ledger.rs
+++ b/crates/clementinepond_dispatch/src/ledger/load_ledger.rs
@@ -1,13 +1,17 @@
 //! Load of all endpoints as one VM sees it.
 
-use super::{EndpointKey, LoadShare};
-use clementinepond_types::VmId;
+use super::{EndpointKey, LoadShare, ReadQueue};
+use clementinepond_types::{LocalTime, VmId};
 use fnv::FnvHashMap;
 
 /// Load of all endpoints.
 #[derive(Debug, Default)]
 pub struct LoadLedger {
     own: FnvHashMap<EndpointKey, LoadShare>,
+    /// Prompt tokens of own requests without a first token.
+    own_unread: FnvHashMap<EndpointKey, u32>,
+    /// Prompt text that all VMs sent.
+    queues: FnvHashMap<EndpointKey, ReadQueue>,
     remote: FnvHashMap<EndpointKey, LoadShare>,
     by_peer: FnvHashMap<VmId, Vec<(EndpointKey, LoadShare)>>,
 }
@@ -19,10 +23,20 @@
         *own = own.plus(share);
     }
 
-    /// Counts the first token of a request.
-    pub fn finish_prefill(&mut self, key: EndpointKey, tokens: u32) {
-        if let Some(own) = self.own.get_mut(&key) {
-            own.prefill_tokens = own.prefill_tokens.saturating_sub(tokens);
+    /// Counts the prompt text of a request that is being sent.
+    pub fn start_read(&mut self, key: EndpointKey, tokens: u32, now: LocalTime) {
+        let unread = self.own_unread.entry(key).or_default();
+        *unread = unread.saturating_add(tokens);
+        self.queues.entry(key).or_default().add(tokens, now);
+    }
+
+    /// Counts the first token of a request, or its end without one.
+    pub fn finish_read(&mut self, key: EndpointKey, tokens: u32) {
+        if let Some(unread) = self.own_unread.get_mut(&key) {
+            *unread = unread.saturating_sub(tokens);
+            if *unread == 0 {
+                self.own_unread.remove(&key);
+            }
         }
     }
 
@@ -36,6 +50,25 @@
         }
     }
 
+    /// Counts a request that a peer is sending; the peer's next news replace it.
+    pub fn start_remote(
+        &mut self,
+        peer: &VmId,
+        key: EndpointKey,
+        share: LoadShare,
+        unread: u32,
+        now: LocalTime,
+    ) {
+        self.queues.entry(key).or_default().add(unread, now);
+        let remote = self.remote.entry(key).or_default();
+        *remote = remote.plus(share);
+        if let Some(loads) = self.by_peer.get_mut(peer) {
+            loads.push((key, share));
+        } else {
+            self.by_peer.insert(peer.clone(), vec![(key, share)]);
+        }
+    }
+
     /// Takes over what a peer says of its own load.
     pub fn set_peer(&mut self, peer: &VmId, loads: Vec<(EndpointKey, LoadShare)>) {
         self.forget_peer(peer);
@@ -68,6 +101,21 @@
         self.own(key).plus(remote)
     }
 
+    /// Returns the prompt tokens that an endpoint still has to read before those
+    /// of a new request.
+    #[must_use]
+    pub fn unread(&self, key: EndpointKey, now: LocalTime) -> f64 {
+        let queue = self.queues.get(&key);
+        let waiting = queue.map_or(0.0, |queue| queue.waiting(now));
+        let own = self.own_unread.get(&key).copied().unwrap_or(0);
+        waiting.max(f64::from(own))
+    }
+
+    /// Forgets the queue of an endpoint that started anew or is gone.
+    pub fn forget_queue(&mut self, key: EndpointKey) {
+        self.queues.remove(&key);
+    }
+
     /// Returns what this VM has to tell its peers.
     #[must_use]
     pub fn news(&self) -> Vec<(EndpointKey, LoadShare)> {
--- a/crates/clementinepond_dispatch/src/ledger/load_share.rs
+++ b/crates/clementinepond_dispatch/src/ledger/load_share.rs
@@ -7,8 +7,6 @@
 pub struct LoadShare {
     /// Requests sent and not yet ended.
     pub runs: u32,
-    /// Prompt tokens of requests without a first token.
-    pub prefill_tokens: u32,
     /// Tokens of prompts and outputs that the runs may come to hold.
     pub context_tokens: u32,
 }
@@ -19,7 +17,6 @@
     pub const fn plus(self, other: Self) -> Self {
         Self {
             runs: self.runs.saturating_add(other.runs),
-            prefill_tokens: self.prefill_tokens.saturating_add(other.prefill_tokens),
             context_tokens: self.context_tokens.saturating_add(other.context_tokens),
         }
     }
@@ -29,7 +26,6 @@
     pub const fn minus(self, other: Self) -> Self {
         Self {
             runs: self.runs.saturating_sub(other.runs),
-            prefill_tokens: self.prefill_tokens.saturating_sub(other.prefill_tokens),
             context_tokens: self.context_tokens.saturating_sub(other.context_tokens),
         }
     }
--- a/crates/clementinepond_dispatch/src/peer/message.rs
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -1,5 +1,6 @@
 //! Messages between VMs, one a datagram.
 
+use crate::fleet::PromptPart;
 use crate::ledger::{EndpointKey, LoadShare};
 use clementinepond_types::{AccountId, AdapterId, DataCentreId, EndpointId, ModelId, VmId};
 use serde::{Deserialize, Serialize};
@@ -102,11 +103,28 @@
     pub loading: Vec<(EndpointKey, u32)>,
 }
 
+/// A request that a VM is sending to an engine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SentRun {
+    /// Engine.
+    pub endpoint: EndpointId,
+    /// Prompt tokens that the engine has to read.
+    pub unread_tokens: u32,
+    /// Tokens of prompt and output that the run may come to hold.
+    pub context_tokens: u32,
+    /// Model, or model and adapter, under which the prompt is cached.
+    pub weights: EndpointKey,
+    /// Parts of the prompt, which the engine holds from now on.
+    pub parts: Vec<PromptPart>,
+}
+
 /// One message.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// Regular news.
     News(Box<PeerNews>),
+    /// Requests being sent, told at once.
+    Runs(Vec<SentRun>),
     /// News of placement.
     Placement(Box<PlacementNews>),
     /// Changes of endpoints' entries.
--- a/crates/clementinepond_dispatch/src/select/engine_choice.rs
+++ b/crates/clementinepond_dispatch/src/select/engine_choice.rs
@@ -7,12 +7,9 @@
 
 use crate::fleet::{EndpointEntry, TokenDemand};
 use crate::health::HealthGrade;
-use crate::ledger::LoadShare;
+use crate::ledger::{LoadShare, READ_TOKENS_PER_MS};
 use clementinepond_types::TimeSpan;
 
-/// Prompt tokens that an engine reads in a millisecond between the tokens of
-/// its other requests; corrected by each engine's measured pace.
-const PREFILL_TOKENS_PER_MS: f64 = 30.0;
 /// Time of one step of an engine, in milliseconds.
 const STEP_MS: f64 = 6.0;
 /// Time to load an adapter through the planner, in milliseconds.
@@ -50,6 +47,8 @@
     pub endpoint: &'a EndpointEntry,
     /// Load that all VMs put on it.
     pub load: LoadShare,
+    /// Prompt tokens that it still has to read for others.
+    pub unread_tokens: f64,
     /// Tokens of the prompt that it probably holds.
     pub cached_tokens: u64,
     /// How far it is trusted.
@@ -103,8 +102,7 @@
         .tokens
         .prompt
         .saturating_sub(candidate.cached_tokens) as f64;
-    let queued = f64::from(candidate.load.prefill_tokens);
-    let reading = (queued + uncached) / PREFILL_TOKENS_PER_MS + STEP_MS;
+    let reading = (candidate.unread_tokens + uncached) / READ_TOKENS_PER_MS + STEP_MS;
     let over = f64::from((candidate.load.runs + 1).saturating_sub(request.slots));
     let slot_wait = over * SLOT_TURN_MS / f64::from(request.slots.max(1));
     let capacity = request.kv_capacity.max(1) as f64;
--- /dev/null
+++ b/crates/clementinepond_dispatch/tests/herd.rs
@@ -0,0 +1,168 @@
+//! Many VMs that choose among the same engines: what callers get when VMs tell
+//! each other of requests at once, and when they do so with the regular news.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::panic,
+    reason = "a test stops at the first surprise"
+)]
+
+mod support;
+
+use clementinepond_dispatch::fleet::{EndpointEntry, TokenDemand};
+use clementinepond_dispatch::health::HealthGrade;
+use clementinepond_dispatch::ledger::{EndpointKey, LoadLedger, LoadShare};
+use clementinepond_dispatch::select::{
+    AdapterReadiness, EngineCandidate, EngineRequest, EngineVerdict, choose_engine,
+    rendezvous_weight,
+};
+use clementinepond_types::{LocalTime, TimeSpan, VmId};
+use std::collections::VecDeque;
+use support::entry;
+
+const VMS: usize = 40;
+const ENGINES: usize = 12;
+/// Prompt tokens of each request that no engine holds.
+const UNCACHED: u32 = 4_000;
+/// Time that an engine takes to read them, in microseconds.
+const READ_US: u64 = 133_000;
+/// Time between two requests; keeps the engines busy for three quarters of the time.
+const GAP_US: u64 = 15_000;
+const REQUESTS: u64 = 4_000;
+/// Time within which callers want the first token.
+const TARGET_US: u64 = 400_000;
+
+/// Word of one request on its way to the other VMs.
+struct Word {
+    due: LocalTime,
+    from: usize,
+    engine: usize,
+}
+
+fn vm(index: usize) -> VmId {
+    format!("vm-{index}").parse().unwrap()
+}
+
+fn choose(ledger: &LoadLedger, engines: &[EndpointEntry], now: LocalTime) -> usize {
+    let candidates: Vec<EngineCandidate<'_>> = engines
+        .iter()
+        .map(|endpoint| {
+            let key = EndpointKey::of(endpoint.id.as_str());
+            EngineCandidate {
+                endpoint,
+                load: ledger.total(key),
+                unread_tokens: ledger.unread(key, now),
+                cached_tokens: 0,
+                grade: HealthGrade::Good,
+                adapter: AdapterReadiness::Ready,
+                is_local: true,
+                is_missing: false,
+                pace: 1.0,
+            }
+        })
+        .collect();
+    let request = EngineRequest {
+        tokens: TokenDemand {
+            prompt: u64::from(UNCACHED),
+            output: 50,
+        },
+        slots: 64,
+        kv_capacity: 10_000_000,
+        time_left: TimeSpan::from_secs(60),
+    };
+    match choose_engine(&candidates, &request) {
+        EngineVerdict::Send { index, .. } => index,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Returns the share of requests with a first token in time.
+fn play(told_after: TimeSpan) -> f64 {
+    let engines: Vec<EndpointEntry> = (0..ENGINES)
+        .map(|index| entry(&format!("e{index}"), &["m0"]))
+        .collect();
+    let mut ledgers: Vec<LoadLedger> = (0..VMS).map(|_| LoadLedger::default()).collect();
+    let mut words: VecDeque<Word> = VecDeque::new();
+    let mut free_at = vec![0_u64; ENGINES];
+    // Batches and memory have room throughout.
+    let share = LoadShare::default();
+    let mut in_time = 0;
+    for number in 0..REQUESTS {
+        let micros = number * GAP_US;
+        let now = LocalTime::from_micros(micros);
+        while words.front().is_some_and(|word| word.due <= now) {
+            let Some(word) = words.pop_front() else { break };
+            let key = EndpointKey::of(engines[word.engine].id.as_str());
+            let others = ledgers.iter_mut().enumerate();
+            for (_, ledger) in others.filter(|(index, _)| *index != word.from) {
+                ledger.start_remote(&vm(word.from), key, share, UNCACHED, word.due);
+            }
+        }
+        let from = (rendezvous_weight(number, "caller") % VMS as u64) as usize;
+        let engine = choose(&ledgers[from], &engines, now);
+        let key = EndpointKey::of(engines[engine].id.as_str());
+        ledgers[from].start(key, share);
+        ledgers[from].start_read(key, UNCACHED, now);
+        words.push_back(Word {
+            due: now + told_after,
+            from,
+            engine,
+        });
+        free_at[engine] = free_at[engine].max(micros) + READ_US;
+        if free_at[engine] - micros <= TARGET_US {
+            in_time += 1;
+        }
+        // The first token ends the VM's own count; one request is enough here.
+        ledgers[from].finish_read(key, UNCACHED);
+        ledgers[from].finish(key, share);
+    }
+    f64::from(in_time) / REQUESTS as f64
+}
+
+#[test]
+fn word_at_once_keeps_vms_apart() {
+    let at_once = play(TimeSpan::from_millis(3));
+    let with_news = play(TimeSpan::from_millis(750));
+    assert!(at_once > 0.99, "{at_once}");
+    assert!(with_news < at_once - 0.2, "{with_news}");
+}
+
+#[test]
+fn a_queue_drains_at_reading_speed() {
+    let mut ledger = LoadLedger::default();
+    let key = EndpointKey::of("e0");
+    let share = LoadShare {
+        runs: 1,
+        context_tokens: 9_000,
+    };
+    let start = LocalTime::from_micros(1_000_000);
+    ledger.start_remote(&vm(1), key, share, 9_000, start);
+    assert_eq!(ledger.unread(key, start), 9_000.0);
+    let later = start + TimeSpan::from_millis(100);
+    assert_eq!(ledger.unread(key, later), 6_000.0);
+    // Own requests without a first token still count once the estimate is used up.
+    ledger.start(key, share);
+    ledger.start_read(key, 500, later);
+    let much_later = start + TimeSpan::from_secs(5);
+    assert_eq!(ledger.unread(key, much_later), 500.0);
+    ledger.finish_read(key, 500);
+    assert_eq!(ledger.unread(key, much_later), 0.0);
+}
+
+#[test]
+fn regular_news_replace_what_was_told_at_once() {
+    let mut ledger = LoadLedger::default();
+    let key = EndpointKey::of("e0");
+    let share = LoadShare {
+        runs: 1,
+        context_tokens: 100,
+    };
+    let now = LocalTime::from_micros(1);
+    ledger.set_peer(&vm(1), vec![(key, share)]);
+    ledger.start_remote(&vm(1), key, share, 0, now);
+    assert_eq!(ledger.total(key).runs, 2);
+    ledger.set_peer(&vm(1), vec![(key, share)]);
+    assert_eq!(ledger.total(key).runs, 1);
+    ledger.forget_peer(&vm(1));
+    assert_eq!(ledger.total(key), LoadShare::default());
+}
--- a/crates/clementinepond_entry/src/caller/request_end.rs
+++ b/crates/clementinepond_entry/src/caller/request_end.rs
@@ -58,8 +58,7 @@
             self.status,
             self.sent,
             self.sent_at.since(request.arrival).millis(),
-            self.pace
-                .map_or_else(String::new, |pace| pace.to_string()),
+            self.pace.map_or_else(String::new, |pace| pace.to_string()),
             now.since(request.arrival).millis(),
             request.table.policy().version,
         );
--- a/crates/clementinepond_entry/src/caller/stream.rs
+++ b/crates/clementinepond_entry/src/caller/stream.rs
@@ -260,10 +260,5 @@
             let waited = now.since(self.request.arrival);
             self.node.stats.first_byte.record(waited.millis());
         }
-        let request = &self.request;
-        if let (Some(engine), Some(target)) = (request.engine(), &request.profile.target) {
-            self.node
-                .note_read(&picked.id, target, &request.profile, engine.kv_capacity);
-        }
     }
 }
--- a/crates/clementinepond_entry/src/node/entry_node.rs
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -2,6 +2,7 @@
 
 use super::NodeStats;
 use super::placement::PlacementKnowledge;
+use super::run_news::RunOutbox;
 use crate::endpoint::ConnectionPool;
 use crate::peer::PeerSocket;
 use crate::settings::EntrySettings;
@@ -68,6 +69,8 @@
     /// Placement of each service while this VM holds the duty.
     pub(crate) planners: FnvHashMap<ServiceId, PlacementPlanner>,
     pub(crate) ejected_here: FnvHashMap<EndpointKey, LocalTime>,
+    /// Requests sent that peers have not been told of.
+    pub(crate) untold: RunOutbox,
 }
 
 /// One entry VM.
@@ -116,6 +119,7 @@
             lease: None,
             planners: FnvHashMap::default(),
             ejected_here: FnvHashMap::default(),
+            untold: RunOutbox::default(),
         };
         Self {
             settings: RefCell::new(Rc::new(settings)),
--- a/crates/clementinepond_entry/src/node/fleet_state.rs
+++ b/crates/clementinepond_entry/src/node/fleet_state.rs
@@ -249,7 +249,9 @@
         if change == EndpointChange::Joined {
             state.health.forget(&id);
             state.paces.remove(&id);
-            state.parts.forget(EndpointKey::of(id.as_str()));
+            let key = EndpointKey::of(id.as_str());
+            state.parts.forget(key);
+            state.loads.forget_queue(key);
         }
         if change != EndpointChange::Same {
             log::info!(
@@ -325,7 +327,9 @@
                 state.health.forget(&id);
                 state.paces.remove(&id);
                 state.work_ms.remove(&id);
-                state.parts.forget(EndpointKey::of(id.as_str()));
+                let key = EndpointKey::of(id.as_str());
+                state.parts.forget(key);
+                state.loads.forget_queue(key);
                 self.pool.forget(&id);
                 log::info!("event=endpoint_gone endpoint={id}");
             }
--- a/crates/clementinepond_entry/src/node/mod.rs
+++ b/crates/clementinepond_entry/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod fleet_state;
 mod pick;
 mod placement;
+mod run_news;
 mod stats;
 
 pub(crate) use entry_node::EntryNode;
--- a/crates/clementinepond_entry/src/node/pick.rs
+++ b/crates/clementinepond_entry/src/node/pick.rs
@@ -8,7 +8,7 @@
 };
 use clementinepond_dispatch::health::EndpointOutcome;
 use clementinepond_dispatch::ledger::{EndpointKey, LoadShare};
-use clementinepond_dispatch::peer::AdapterPlace;
+use clementinepond_dispatch::peer::{AdapterPlace, SentRun};
 use clementinepond_dispatch::place::adapter_key;
 use clementinepond_dispatch::select::{
     AdapterReadiness, EngineCandidate, EngineRequest, EngineVerdict, ServiceCandidate,
@@ -63,26 +63,24 @@
     id: EndpointId,
     key: EndpointKey,
     share: LoadShare,
-    prefill_left: Cell<u32>,
+    /// Prompt tokens that count as unread until the first token.
+    unread: Cell<u32>,
 }
 
 impl RunGuard {
     /// Notes the first token.
     pub(crate) fn note_first_token(&self) {
-        let tokens = self.prefill_left.take();
+        let tokens = self.unread.take();
         let mut state = self.node.state.borrow_mut();
-        state.loads.finish_prefill(self.key, tokens);
+        state.loads.finish_read(self.key, tokens);
     }
 }
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
         let mut state = self.node.state.borrow_mut();
-        let share = LoadShare {
-            prefill_tokens: self.prefill_left.get(),
-            ..self.share
-        };
-        state.loads.finish(self.key, share);
+        state.loads.finish_read(self.key, self.unread.get());
+        state.loads.finish(self.key, self.share);
         state.health.end_run(&self.id);
     }
 }
@@ -186,6 +184,7 @@
                 EngineCandidate {
                     endpoint: entry,
                     load: state.loads.total(key),
+                    unread_tokens: state.loads.unread(key, now),
                     cached_tokens: seen.max(assumed),
                     grade: state.health.grade(&entry.id, now),
                     adapter,
@@ -230,8 +229,14 @@
         let id = chosen.endpoint.id.clone();
         let address = chosen.endpoint.address;
         drop(guard);
-        let share = engine_share(tokens, query.profile, prefill);
-        let guard = self.start_run(&id, share);
+        let run = SentRun {
+            endpoint: id.clone(),
+            unread_tokens: clip(prefill),
+            context_tokens: context_tokens(tokens, query.profile),
+            weights,
+            parts: query.profile.parts.clone(),
+        };
+        let guard = self.start_engine_run(run, engine.kv_capacity, now);
         Ok(PickedEndpoint {
             id,
             address,
@@ -282,9 +287,9 @@
         drop(guard);
         let share = LoadShare {
             runs: 1,
-            ..LoadShare::default()
+            context_tokens: 0,
         };
-        let guard = self.start_run(&id, share);
+        let guard = self.start_run(&id, share, 0);
         Ok(PickedEndpoint {
             id,
             address,
@@ -294,7 +299,25 @@
         })
     }
 
-    fn start_run(self: &Rc<Self>, id: &EndpointId, share: LoadShare) -> RunGuard {
+    /// Counts a run at an engine and tells the peers of it.
+    fn start_engine_run(self: &Rc<Self>, run: SentRun, capacity: u64, now: LocalTime) -> RunGuard {
+        let key = EndpointKey::of(run.endpoint.as_str());
+        let share = LoadShare {
+            runs: 1,
+            context_tokens: run.context_tokens,
+        };
+        let guard = self.start_run(&run.endpoint, share, run.unread_tokens);
+        let mut state = self.state.borrow_mut();
+        state.loads.start_read(key, run.unread_tokens, now);
+        state
+            .parts
+            .note_read(key, run.weights, &run.parts, capacity, now);
+        drop(state);
+        self.tell_run(run, now);
+        guard
+    }
+
+    fn start_run(self: &Rc<Self>, id: &EndpointId, share: LoadShare, unread: u32) -> RunGuard {
         let key = EndpointKey::of(id.as_str());
         let mut state = self.state.borrow_mut();
         state.loads.start(key, share);
@@ -304,7 +327,7 @@
             id: id.clone(),
             key,
             share,
-            prefill_left: Cell::new(share.prefill_tokens),
+            unread: Cell::new(unread),
         }
     }
 
@@ -347,22 +370,6 @@
         let work = state.work_ms.entry(id.clone()).or_insert(FIRST_WORK_MS);
         *work += (millis - *work) * WORK_WEIGHT;
     }
-
-    /// Notes that an engine has read a request's prompt.
-    pub(crate) fn note_read(
-        &self,
-        id: &EndpointId,
-        target: &ModelTarget,
-        profile: &RequestProfile,
-        capacity: u64,
-    ) {
-        let mut state = self.state.borrow_mut();
-        let endpoint = EndpointKey::of(id.as_str());
-        let now = BootClock::now();
-        state
-            .parts
-            .note_read(endpoint, weights_key(target), &profile.parts, capacity, now);
-    }
 }
 
 /// Returns the key under which caches hold a prompt's parts.
@@ -404,15 +411,15 @@
     order
 }
 
-fn engine_share(tokens: TokenDemand, profile: &RequestProfile, prefill: u64) -> LoadShare {
+/// Returns the tokens that a run may come to hold.
+fn context_tokens(tokens: TokenDemand, profile: &RequestProfile) -> u32 {
     let output = profile
         .output_hint
         .unwrap_or(tokens.output)
         .min(tokens.output);
-    let clip = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
-    LoadShare {
-        runs: 1,
-        prefill_tokens: clip(prefill),
-        context_tokens: clip(tokens.prompt + output),
-    }
+    clip(tokens.prompt + output)
+}
+
+fn clip(tokens: u64) -> u32 {
+    u32::try_from(tokens).unwrap_or(u32::MAX)
 }
--- /dev/null
+++ b/crates/clementinepond_entry/src/node/run_news.rs
@@ -0,0 +1,84 @@
+//! Word of requests as they are sent to engines.
+//!
+//! An engine's queue is shorter than the time between two regular news, so VMs
+//! that only knew the news would all turn to the same engine.
+
+use super::EntryNode;
+use clementinepond_dispatch::ledger::{EndpointKey, LoadShare};
+use clementinepond_dispatch::peer::{PeerMessage, SentRun};
+use clementinepond_types::{LocalTime, VmId};
+
+/// Datagrams a second that a VM spends on word of its requests; beyond, several
+/// requests share one. Costs the smallest VMs a fiftieth of their processor.
+const DATAGRAMS_PER_S: f64 = 800.0;
+
+/// Requests that peers are yet to be told of.
+#[derive(Debug, Default)]
+pub(crate) struct RunOutbox {
+    runs: Vec<SentRun>,
+    /// Datagrams that may be sent at once.
+    credit: f64,
+    credited_at: LocalTime,
+}
+
+impl RunOutbox {
+    /// Returns what is to be told now to that many peers.
+    fn due(&mut self, peers: usize, now: LocalTime) -> Vec<SentRun> {
+        let seconds = now.since(self.credited_at).micros() as f64 / 1e6;
+        self.credited_at = now;
+        self.credit = (self.credit + seconds * DATAGRAMS_PER_S).min(DATAGRAMS_PER_S);
+        if self.runs.is_empty() || self.credit <= 0.0 {
+            return Vec::new();
+        }
+        self.credit -= peers as f64;
+        std::mem::take(&mut self.runs)
+    }
+}
+
+impl EntryNode {
+    /// Tells all peers of a request that is being sent.
+    pub(super) fn tell_run(&self, run: SentRun, now: LocalTime) {
+        self.state.borrow_mut().untold.runs.push(run);
+        self.flush_runs(now);
+    }
+
+    /// Tells all peers of the requests that waited, if any.
+    pub(crate) fn flush_runs(&self, now: LocalTime) {
+        let due = {
+            let mut guard = self.state.borrow_mut();
+            let state = &mut *guard;
+            let peers = state.peers.all().count();
+            state.untold.due(peers, now)
+        };
+        if !due.is_empty() {
+            self.broadcast(PeerMessage::Runs(due));
+        }
+    }
+
+    /// Takes over a peer's word of its requests.
+    pub(crate) fn take_runs(&self, from: &VmId, runs: Vec<SentRun>, now: LocalTime) {
+        let Some(table) = self.table() else {
+            return;
+        };
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
+        for run in runs {
+            let known = state.directory.get(&run.endpoint);
+            let service = known.and_then(|known| table.service(&known.entry.service));
+            let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+                continue;
+            };
+            let key = EndpointKey::of(run.endpoint.as_str());
+            let share = LoadShare {
+                runs: 1,
+                context_tokens: run.context_tokens,
+            };
+            state
+                .loads
+                .start_remote(from, key, share, run.unread_tokens, now);
+            state
+                .parts
+                .note_read(key, run.weights, &run.parts, engine.kv_capacity, now);
+        }
+    }
+}
--- a/crates/clementinepond_entry/src/peer/socket.rs
+++ b/crates/clementinepond_entry/src/peer/socket.rs
@@ -93,6 +93,7 @@
     let now = BootClock::now();
     match envelope.message {
         PeerMessage::News(news) => node.take_news(&from, address, news, started_at, now),
+        PeerMessage::Runs(runs) => node.take_runs(&from, runs, now),
         PeerMessage::Placement(news) => node.take_placement(*news, Some(&from), now),
         PeerMessage::Entries(news) => node.take_entry_news(news),
         PeerMessage::AdapterReady(place) => node.take_adapter_ready(place),
@@ -130,6 +131,7 @@
         }
         let now = BootClock::now();
         node.sweep_peers(now);
+        node.flush_runs(now);
         number += 1;
         let news = node.own_news(number, now);
         if let Some(bytes) = socket.encode(PeerMessage::News(Box::new(news))) {
