--- a/crates/clementinepond/src/command/entry_log_event.rs
+++ b/crates/clementinepond/src/command/entry_log_event.rs
@@ -185,6 +185,11 @@
         "error",
         "a connection for readiness or metrics ended with an error",
     ),
+    event(
+        "quota_refused",
+        "request account units level rate_per_s burst is_current retry_ms",
+        "a request is beyond its account's quota",
+    ),
     event(
         "request_ended",
         "request route service model account endpoint outcome status reason endpoints waited_ms predicted_ms first_ms pause_ms duration_ms configuration",
--- a/crates/clementinepond_dispatch/src/peer/message.rs
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -116,6 +116,17 @@
     pub weights: EndpointKey,
     /// Parts of the prompt, which the engine holds from now on.
     pub parts: Vec<PromptPart>,
+    /// Account, and the units admitted for it since the VM's process started.
+    pub account: Option<(AccountId, f64)>,
+}
+
+/// Requests that a VM is sending to engines.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RunNews {
+    /// Random number of the process.
+    pub incarnation: u64,
+    /// Requests, oldest first.
+    pub runs: Vec<SentRun>,
 }
 
 /// One message.
@@ -124,7 +135,7 @@
     /// Regular news.
     News(Box<PeerNews>),
     /// Requests being sent, told at once.
-    Runs(Vec<SentRun>),
+    Runs(RunNews),
     /// News of placement.
     Placement(Box<PlacementNews>),
     /// Changes of endpoints' entries.
--- a/crates/clementinepond_dispatch/src/peer/mod.rs
+++ b/crates/clementinepond_dispatch/src/peer/mod.rs
@@ -5,6 +5,6 @@
 
 pub use message::{
     AccountNews, AdapterPlace, EntryChange, EntryNews, ModelDemand, PeerEnvelope, PeerMessage,
-    PeerNews, PlacementNews, SentRun,
+    PeerNews, PlacementNews, RunNews, SentRun,
 };
 pub use peer_table::{PeerState, PeerTable, RemoteUse, SMALL_FLEET};
--- a/crates/clementinepond_dispatch/src/peer/peer_table.rs
+++ b/crates/clementinepond_dispatch/src/peer/peer_table.rs
@@ -23,6 +23,13 @@
 /// partitions that the platform announces.
 const FORGET_AFTER: TimeSpan = TimeSpan::from_secs(25);
 
+/// Age of the last word up to which a VM knows what a peer admits; a few times
+/// the usual gap between a busy peer's requests.
+const CURRENT_AGE: TimeSpan = TimeSpan::from_millis(500);
+/// Part of the peers that must be heard so lately: enough of those in contact
+/// are, by chance, and too few when a tenth of the fleet and more is cut off.
+const CURRENT_PARTS: (usize, usize) = (3, 4);
+
 /// Link beyond which a VM watches as well as any other, in megabits a second.
 const ENOUGH_LINK_MBPS: u32 = 100;
 /// Key of the line of watchers.
@@ -113,6 +120,49 @@
         Some(uses)
     }
 
+    /// Notes what a peer has admitted for an account; returns the units since its
+    /// last word, or nothing when the peer's process is not known.
+    pub fn note_admitted(
+        &mut self,
+        vm: &VmId,
+        incarnation: u64,
+        account: &AccountId,
+        admitted: f64,
+    ) -> Option<f64> {
+        let news = self.peers.get_mut(vm)?.news.as_mut()?;
+        if news.incarnation != incarnation {
+            return None;
+        }
+        let known = news
+            .accounts
+            .iter_mut()
+            .find(|one| one.account == *account)?;
+        let units = admitted - known.admitted;
+        known.admitted = admitted;
+        Some(units)
+    }
+
+    /// Notes that a peer's process was heard.
+    pub fn note_word(&mut self, vm: &VmId, incarnation: u64, now: LocalTime) {
+        if let Some(peer) = self.peers.get_mut(vm) {
+            let news = peer.news.as_ref();
+            if news.is_some_and(|news| news.incarnation == incarnation) {
+                peer.heard_at = now;
+            }
+        }
+    }
+
+    /// Tells whether this VM knows what the others admit as it happens.
+    #[must_use]
+    pub fn is_current(&self, now: LocalTime) -> bool {
+        let fresh = self
+            .peers
+            .values()
+            .filter(|peer| peer.news.is_some() && now.since(peer.heard_at) < CURRENT_AGE)
+            .count();
+        fresh * CURRENT_PARTS.1 >= self.peers.len() * CURRENT_PARTS.0
+    }
+
     /// Forgets peers that have been silent for long; returns their names.
     pub fn sweep(&mut self, now: LocalTime) -> Vec<VmId> {
         let gone: Vec<VmId> = self
--- a/crates/clementinepond_dispatch/src/quota/quota_ledger.rs
+++ b/crates/clementinepond_dispatch/src/quota/quota_ledger.rs
@@ -125,8 +125,15 @@
         }
     }
 
-    /// Charges a request.
-    pub fn charge(&mut self, policy: &AccountPolicy, units: f64, now: LocalTime) -> QuotaVerdict {
+    /// Charges a request; `is_current` tells whether this VM knows what the
+    /// others admit as it happens.
+    pub fn charge(
+        &mut self,
+        policy: &AccountPolicy,
+        units: f64,
+        is_current: bool,
+        now: LocalTime,
+    ) -> QuotaVerdict {
         if policy.rate_per_s <= 0.0 {
             return QuotaVerdict::Within;
         }
@@ -146,10 +153,12 @@
             HEAVY_SHARE
         };
         let is_heavy = own + elsewhere > heavy_share * policy.rate_per_s;
-        // While demand is heavy, peers' use is known too late: each VM keeps to
+        // While demand is heavy and peers' use is known too late, each VM keeps to
         // its part of the demand.
         let is_blind = self.is_large && now.since(account.first_asked_at) < BLIND_SPAN;
-        let fraction = if is_blind {
+        let fraction = if is_current {
+            1.0
+        } else if is_blind {
             (BLIND_SHARES / self.vms as f64).min(1.0)
         } else if is_heavy {
             own / (own + elsewhere)
@@ -157,7 +166,7 @@
             1.0
         };
         let share_burst = (policy.burst * fraction).max(SHARE_REQUESTS * units);
-        let caution = if is_heavy && self.is_large && !is_blind {
+        let caution = if is_heavy && self.is_large && !is_blind && !is_current {
             LARGE_FLEET_PART
         } else {
             1.0
@@ -189,12 +198,14 @@
     }
 
     /// Counts units admitted at a peer since its last news.
-    pub fn note_remote(&mut self, id: &AccountId, units: f64, now: LocalTime) {
+    pub fn note_remote(&mut self, policy: &AccountPolicy, units: f64, now: LocalTime) {
         let part = self.refill_part;
-        if let Some(account) = self.accounts.get_mut(id) {
-            account.bucket.refill(part, now);
-            account.bucket.take_remote(units);
-        }
+        let account = self
+            .accounts
+            .entry(policy.id.clone())
+            .or_insert_with(|| AccountUse::new(policy, now));
+        account.bucket.refill(part, now);
+        account.bucket.take_remote(units);
     }
 
     /// Notes what is asked at the other VMs.
@@ -211,6 +222,22 @@
             .lower_to(level);
     }
 
+    /// Returns the units admitted here for an account since the process started.
+    #[must_use]
+    pub fn admitted(&self, id: &AccountId) -> f64 {
+        self.accounts
+            .get(id)
+            .map_or(0.0, |account| account.admitted)
+    }
+
+    /// Returns the level of this VM's copy of an account's bucket.
+    #[must_use]
+    pub fn level(&self, id: &AccountId) -> f64 {
+        self.accounts
+            .get(id)
+            .map_or(0.0, |account| account.bucket.level())
+    }
+
     /// Returns the figures of each account.
     pub fn figures(&self, now: LocalTime) -> impl Iterator<Item = (&AccountId, AccountFigures)> {
         self.accounts.iter().map(move |(id, account)| {
--- a/crates/clementinepond_entry/src/caller/gate.rs
+++ b/crates/clementinepond_entry/src/caller/gate.rs
@@ -184,9 +184,22 @@
         (QuotaUnit::Tokens | QuotaUnit::Requests, _) => policy.plain_cost,
     } as f64;
     let now = BootClock::now();
-    match node.state.borrow_mut().quotas.charge(policy, units, now) {
+    let mut state = node.state.borrow_mut();
+    let is_current = state.peers.is_current(now);
+    match state.quotas.charge(policy, units, is_current, now) {
         QuotaVerdict::Within => Ok(units),
-        QuotaVerdict::Over { retry_after } => Err(OwnAnswer::OverQuota(retry_after)),
+        QuotaVerdict::Over { retry_after } => {
+            let level = state.quotas.level(&policy.id);
+            log::info!(
+                "event=quota_refused request={} account={} units={units} level={level:.0} rate_per_s={} burst={} is_current={is_current} retry_ms={}",
+                profile.id.as_ref().map_or("-", |id| id.as_str()),
+                policy.id,
+                policy.rate_per_s,
+                policy.burst,
+                retry_after.millis()
+            );
+            Err(OwnAnswer::OverQuota(retry_after))
+        }
     }
 }
 
--- a/crates/clementinepond_entry/src/caller/relay.rs
+++ b/crates/clementinepond_entry/src/caller/relay.rs
@@ -137,6 +137,7 @@
             let query = PickQuery {
                 service: &request.service,
                 profile: &request.profile,
+                account: request.account.as_ref(),
                 deadline: request.deadline,
                 tried: &self.tried,
             };
--- a/crates/clementinepond_entry/src/node/contact.rs
+++ b/crates/clementinepond_entry/src/node/contact.rs
@@ -53,11 +53,12 @@
         state.loads.set_peer(from, loads);
         let table = state.table.clone();
         for one in uses {
+            let Some(policy) = table.as_ref().and_then(|table| table.account(&one.account)) else {
+                continue;
+            };
             if !one.is_first {
-                state.quotas.note_remote(&one.account, one.units, now);
-            } else if now.since(started_at) < ADOPTION_WINDOW
-                && let Some(policy) = table.as_ref().and_then(|table| table.account(&one.account))
-            {
+                state.quotas.note_remote(policy, one.units, now);
+            } else if now.since(started_at) < ADOPTION_WINDOW {
                 state.quotas.adopt(policy, one.level, now);
             }
         }
--- a/crates/clementinepond_entry/src/node/pick.rs
+++ b/crates/clementinepond_entry/src/node/pick.rs
@@ -14,7 +14,7 @@
     AdapterReadiness, EngineCandidate, EngineRequest, EngineVerdict, ServiceCandidate,
     ServiceVerdict, choose_engine, choose_service_endpoint, rendezvous_weight,
 };
-use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
+use clementinepond_types::{AccountId, EndpointId, LocalTime, TimeSpan};
 use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -90,6 +90,7 @@
 pub(crate) struct PickQuery<'a> {
     pub(crate) service: &'a ServiceId,
     pub(crate) profile: &'a RequestProfile,
+    pub(crate) account: Option<&'a AccountId>,
     pub(crate) deadline: LocalTime,
     /// Endpoints that failed this request already.
     pub(crate) tried: &'a [EndpointId],
@@ -228,6 +229,9 @@
         };
         let id = chosen.endpoint.id.clone();
         let address = chosen.endpoint.address;
+        let account = query
+            .account
+            .map(|id| (id.clone(), state.quotas.admitted(id)));
         drop(guard);
         let run = SentRun {
             endpoint: id.clone(),
@@ -235,6 +239,7 @@
             context_tokens: context_tokens(tokens, query.profile),
             weights,
             parts: query.profile.parts.clone(),
+            account,
         };
         let guard = self.start_engine_run(run, engine.kv_capacity, now);
         Ok(PickedEndpoint {
--- a/crates/clementinepond_entry/src/node/run_news.rs
+++ b/crates/clementinepond_entry/src/node/run_news.rs
@@ -5,7 +5,7 @@
 
 use super::EntryNode;
 use clementinepond_dispatch::ledger::{EndpointKey, LoadShare};
-use clementinepond_dispatch::peer::{PeerMessage, SentRun};
+use clementinepond_dispatch::peer::{PeerMessage, RunNews, SentRun};
 use clementinepond_types::{LocalTime, VmId};
 
 /// Datagrams a second that a VM spends on word of its requests; beyond, several
@@ -51,18 +51,32 @@
             state.untold.due(peers, now)
         };
         if !due.is_empty() {
-            self.broadcast(PeerMessage::Runs(due));
+            self.broadcast(PeerMessage::Runs(RunNews {
+                incarnation: self.incarnation,
+                runs: due,
+            }));
         }
     }
 
     /// Takes over a peer's word of its requests.
-    pub(crate) fn take_runs(&self, from: &VmId, runs: Vec<SentRun>, now: LocalTime) {
+    pub(crate) fn take_runs(&self, from: &VmId, news: RunNews, now: LocalTime) {
         let Some(table) = self.table() else {
             return;
         };
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
-        for run in runs {
+        state.peers.note_word(from, news.incarnation, now);
+        for run in news.runs {
+            // A process that is not known yet tells its use in its first news.
+            if let Some((account, admitted)) = &run.account
+                && let Some(policy) = table.account(account)
+                && let Some(units) =
+                    state
+                        .peers
+                        .note_admitted(from, news.incarnation, account, *admitted)
+            {
+                state.quotas.note_remote(policy, units, now);
+            }
             let known = state.directory.get(&run.endpoint);
             let service = known.and_then(|known| table.service(&known.entry.service));
             let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
