--- a/crates/clementinepond_dispatch/src/place/order_book.rs
+++ b/crates/clementinepond_dispatch/src/place/order_book.rs
@@ -60,8 +60,11 @@
     pub adapters: FnvHashMap<(ModelId, AdapterId), HeldAdapter>,
     /// Moment before which nothing is ordered.
     pub pause_until: LocalTime,
-    /// Moment at which each model was first seen there.
-    pub seen_since: FnvHashMap<ModelId, LocalTime>,
+    /// Moment at which each model arrived; those that were there from the
+    /// start of the book are missing.
+    pub arrived_at: FnvHashMap<ModelId, LocalTime>,
+    /// Models that the last entry listed.
+    listed: BTreeSet<ModelId>,
     /// Moment of the last accepted order.
     pub accepted_at: LocalTime,
 }
@@ -69,7 +72,8 @@
 impl OrderBook {
     /// Takes over the endpoint's description; a new life starts a new book.
     pub fn note_entry(&mut self, entry: &EndpointEntry, now: LocalTime) {
-        if entry.started_ms != self.started_ms {
+        let is_new = entry.started_ms != self.started_ms;
+        if is_new {
             let doubtful = std::mem::take(&mut self.doubtful);
             *self = Self {
                 started_ms: entry.started_ms,
@@ -94,11 +98,18 @@
         {
             self.unloading = None;
         }
-        self.seen_since
+        self.arrived_at
             .retain(|model, _| entry.hosted(model).is_some());
         for hosted in &entry.models {
-            self.seen_since.entry(hosted.id.clone()).or_insert(now);
+            if !self.listed.contains(&hosted.id) && !is_new {
+                self.arrived_at.insert(hosted.id.clone(), now);
+            }
         }
+        self.listed = entry
+            .models
+            .iter()
+            .map(|hosted| hosted.id.clone())
+            .collect();
         self.adapters
             .retain(|(model, _), _| entry.hosted(model).is_some() || reported.contains(model));
     }
--- a/crates/clementinepond_dispatch/src/place/planner/moves.rs
+++ b/crates/clementinepond_dispatch/src/place/planner/moves.rs
@@ -199,9 +199,8 @@
         let task = self.moves.get(&entry.id);
         let is_closing = |id: &ModelId| task.is_some_and(|task| task.unload.contains(id));
         let age = |id: &ModelId| {
-            book.seen_since
-                .get(id)
-                .map_or(TimeSpan::ZERO, |at| now.since(*at))
+            let arrived_at = book.arrived_at.get(id).copied();
+            now.since(arrived_at.unwrap_or(LocalTime::ORIGIN))
         };
         let models: Vec<(usize, TimeSpan)> = entry
             .models
--- a/crates/clementinepond_dispatch/tests/planner.rs
+++ b/crates/clementinepond_dispatch/tests/planner.rs
@@ -253,3 +253,33 @@
     }
     assert_eq!(unloaded, [model("m0")]);
 }
+
+#[test]
+fn a_new_holder_gives_up_spare_copies_at_once() {
+    // Four copies of what nobody asks for, one copy of what all ask for: a
+    // change of the holder must not cost callers a settling time.
+    let policy = engine_policy(&[("old", 90_000.0), ("hot", 90_000.0)]);
+    let mut endpoints: Vec<EndpointEntry> = (0..4)
+        .map(|index| entry(&format!("e{index}"), &["old"]))
+        .collect();
+    endpoints.push(entry("e4", &["hot"]));
+    for endpoint in &mut endpoints {
+        endpoint
+            .models
+            .push(entry("any", &["filler"]).models[0].clone());
+    }
+    let mut bench = Bench::new(policy, endpoints);
+    bench
+        .policy
+        .models
+        .push(support::profile("filler", 90_000.0));
+    bench.want("hot", 100_000.0);
+    bench.step(600);
+    for index in 0..5 {
+        let held = if index == 4 { "hot" } else { "old" };
+        bench.status(index, &[held, "filler"], false, 3, 700);
+    }
+    let (millis, sent) = bench.next_order(700, 3_000).unwrap();
+    assert_eq!(sent.order, EndpointOrder::UnloadModel(model("old")));
+    assert!(millis < 1_500, "{millis}");
+}
