--- a/crates/clementinepond_dispatch/src/place/planner/moves.rs
+++ b/crates/clementinepond_dispatch/src/place/planner/moves.rs
@@ -20,8 +20,9 @@
 const LOST_PATIENCE: TimeSpan = TimeSpan::from_millis(2_500);
 /// The same when requests ask for the model.
 const WANTED_PATIENCE: TimeSpan = TimeSpan::from_millis(250);
-/// Seconds of the store's load rate that may be on their way at once.
-const STORE_LOAD_SECONDS: f64 = 3.7;
+/// Part of the loads that the store's rate keeps on their way which may be so
+/// at once; beyond, they slow each other down.
+const STORE_LOAD_PART: f64 = 0.87;
 
 impl PlacementPlanner {
     pub(super) fn carry_moves(
@@ -178,12 +179,14 @@
             Some(self.engine_view(input.policy, entry, *is_usable, book, &index_of, now))
         });
         let store_loads = self.moves.values().filter(|task| task.from_store).count();
-        let at_once = (input.policy.loads_per_s * STORE_LOAD_SECONDS).max(1.0);
+        let longest = input.policy.models.iter().map(|one| one.store_load).max();
+        let seconds = longest.map_or(0.0, |span| span.micros() as f64 / 1e6);
+        let at_once = (input.policy.loads_per_s * seconds * STORE_LOAD_PART).max(1.0);
         let is_unlimited = input.policy.loads_per_s <= 0.0;
         PlacementView {
             engines: engines.collect(),
             models,
-            may_load_from_store: is_unlimited || (store_loads as f64) < at_once,
+            may_load_from_store: is_unlimited || (store_loads + 1) as f64 <= at_once,
         }
     }
 
--- a/crates/clementinepond_dispatch/tests/planner.rs
+++ b/crates/clementinepond_dispatch/tests/planner.rs
@@ -283,3 +283,35 @@
     assert_eq!(sent.order, EndpointOrder::UnloadModel(model("old")));
     assert!(millis < 1_500, "{millis}");
 }
+
+#[test]
+fn a_shift_of_demand_uses_what_the_weight_store_can_feed() {
+    // Loads of 4.2 s at 10 a second: some 36 at once keep their full speed.
+    let names: Vec<String> = (0..60).map(|index| format!("m{index}")).collect();
+    let sizes: Vec<(&str, f64)> = names.iter().map(|name| (name.as_str(), 72_700.0)).collect();
+    let mut policy = engine_policy(&sizes);
+    policy.loads_per_s = 10.0;
+    let engines: Vec<EndpointEntry> = (0..60)
+        .map(|index| entry(&format!("e{index}"), &[]))
+        .collect();
+    let mut bench = Bench::new(policy, engines);
+    for name in &names {
+        bench.want(name, 10_000.0);
+    }
+    bench.step(600);
+    for index in 0..60 {
+        bench.status(index, &[], false, 1, 700);
+    }
+    let mut begun = 0;
+    for millis in (720..4_800).step_by(20) {
+        for effect in bench.step(millis) {
+            let PlannerEffect::Send(sent) = effect else {
+                continue;
+            };
+            assert!(matches!(sent.order, EndpointOrder::LoadModel(_)));
+            begun += 1;
+            bench.reply(&sent, OrderReply::Accepted, millis);
+        }
+    }
+    assert!((32..=37).contains(&begun), "{begun}");
+}
