--- a/crates/clementinepond_dispatch/src/fleet/policy.rs
+++ b/crates/clementinepond_dispatch/src/fleet/policy.rs
@@ -54,6 +54,8 @@
     pub timeout: TimeSpan,
     /// Time within which an answer (a stream: its first event) is on time.
     pub latency_target: TimeSpan,
+    /// Longest pause between two events of a stream that is on time.
+    pub pause_target: Option<TimeSpan>,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
     /// Services that take the requests.
--- /dev/null
+++ b/crates/clementinepond_dispatch/src/select/caller_patience.rs
@@ -0,0 +1,24 @@
+//! How long callers wait for the next event of a stream.
+//!
+//! Answers the load of a crowded model: a request whose first token would come
+//! after its caller has left only delays the others, so it is refused at once.
+
+use crate::fleet::RoutePolicy;
+use clementinepond_types::TimeSpan;
+
+/// Silence that every caller of a stream bears; of the platform's interface, as
+/// are the two factors.
+const SILENCE_FLOOR: TimeSpan = TimeSpan::from_secs(2);
+/// Silence borne, in multiples of the time to the first token that is on time.
+const TARGET_FACTOR: u64 = 4;
+/// Silence borne, in multiples of the longest pause that is on time.
+const PAUSE_FACTOR: u64 = 8;
+
+/// Returns the silence after which callers abandon a stream.
+#[must_use]
+pub fn stream_patience(route: &RoutePolicy) -> TimeSpan {
+    let pause = route.pause_target.unwrap_or(TimeSpan::ZERO);
+    SILENCE_FLOOR
+        .max(route.latency_target.fraction(TARGET_FACTOR, 1))
+        .max(pause.fraction(PAUSE_FACTOR, 1))
+}
--- a/crates/clementinepond_dispatch/src/select/engine_choice.rs
+++ b/crates/clementinepond_dispatch/src/select/engine_choice.rs
@@ -27,7 +27,10 @@
 /// Share of an engine's memory up to which runs do not displace each other.
 const MEMORY_COMFORT: f64 = 0.9;
 /// Share of the time left within which the first token has to be predicted.
-const PATIENCE_SHARE: f64 = 0.6;
+const TIME_SHARE: f64 = 0.6;
+/// Share of the caller's patience within which it has to be; predictions err
+/// by a tenth at long queues.
+const PATIENCE_SHARE: f64 = 0.85;
 
 /// Whether an engine holds the adapter of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -72,8 +75,10 @@
     pub slots: u32,
     /// Tokens that fit into an engine's cache.
     pub kv_capacity: u64,
-    /// Time that the caller still waits.
+    /// Time that the caller still waits for the whole answer.
     pub time_left: TimeSpan,
+    /// Time that it still waits for the first token.
+    pub patience: TimeSpan,
 }
 
 /// What to do with a request.
@@ -143,7 +148,8 @@
     let Some((_, first_token, index)) = best else {
         return EngineVerdict::NoCopy;
     };
-    let patience = request.time_left.millis() as f64 * PATIENCE_SHARE;
+    let time = request.time_left.millis() as f64 * TIME_SHARE;
+    let patience = time.min(request.patience.millis() as f64 * PATIENCE_SHARE);
     if first_token > patience {
         let excess = (first_token - patience).max(1.0);
         return EngineVerdict::Refuse {
--- a/crates/clementinepond_dispatch/tests/herd.rs
+++ b/crates/clementinepond_dispatch/tests/herd.rs
@@ -69,6 +69,7 @@
         slots: 64,
         kv_capacity: 10_000_000,
         time_left: TimeSpan::from_secs(60),
+        patience: TimeSpan::from_secs(60),
     };
     match choose_engine(&candidates, &request) {
         EngineVerdict::Send { index, .. } => index,
--- a/crates/clementinepond_entry/src/caller/gate.rs
+++ b/crates/clementinepond_entry/src/caller/gate.rs
@@ -9,6 +9,7 @@
     EnginePolicy, QuotaUnit, RepeatRule, RequestProfile, RoutePolicy, ServiceId,
 };
 use clementinepond_dispatch::quota::QuotaVerdict;
+use clementinepond_dispatch::select::stream_patience;
 use clementinepond_dispatch::table::{KeyCheck, RouteTable, pick_service};
 use clementinepond_platform::{KeyText, read_key};
 use clementinepond_types::{AccountId, LocalTime, TimeSpan};
@@ -56,6 +57,17 @@
         self.route.repeat.is_stream()
     }
 
+    /// Returns the moment at which a caller leaves that has got nothing since
+    /// `silent_since`.
+    pub(crate) fn patience_end(&self, silent_since: LocalTime) -> LocalTime {
+        if self.is_stream() {
+            self.deadline
+                .min(silent_since + stream_patience(&self.route))
+        } else {
+            self.deadline
+        }
+    }
+
     /// Shortens a span to what a caller can wait before it comes back.
     pub(crate) fn bounded_retry(&self, span: TimeSpan) -> TimeSpan {
         let left = BootClock::now().until(self.deadline);
--- a/crates/clementinepond_entry/src/caller/relay.rs
+++ b/crates/clementinepond_entry/src/caller/relay.rs
@@ -71,6 +71,8 @@
     unreached: u32,
     adapter_waits: u32,
     may_have_run: bool,
+    /// Moment since which the caller has got nothing.
+    pub(crate) silent_since: LocalTime,
     /// Event after which a stream goes on.
     pub(crate) resume_after: Option<u64>,
 }
@@ -86,6 +88,7 @@
             unreached: 0,
             adapter_waits: 0,
             may_have_run: false,
+            silent_since: request.arrival,
             resume_after: request.profile.resume_after,
         }
     }
@@ -139,6 +142,7 @@
                 profile: &request.profile,
                 account: request.account.as_ref(),
                 deadline: request.deadline,
+                first_token_by: request.patience_end(self.silent_since),
                 tried: &self.tried,
             };
             let picked = match self.node.pick(&query, request.engine()) {
@@ -413,7 +417,8 @@
         let model = EndpointKey::of(target.model.as_str());
         let now = BootClock::now();
         let left = now.until(self.request.deadline);
-        let latest = now + left.fraction(COPY_WAIT_PARTS.0, COPY_WAIT_PARTS.1);
+        let half = now + left.fraction(COPY_WAIT_PARTS.0, COPY_WAIT_PARTS.1);
+        let latest = half.min(self.request.patience_end(self.silent_since));
         let mut changed = std::pin::pin!(self.node.placement_changed.notified());
         changed.as_mut().enable();
         let expected = self.node.state.borrow().placement.expected_at(model);
--- a/crates/clementinepond_entry/src/caller/stream.rs
+++ b/crates/clementinepond_entry/src/caller/stream.rs
@@ -162,6 +162,7 @@
             return None;
         }
         self.events.drop_partial();
+        self.search.silent_since = BootClock::now();
         self.search.resume_after = self.events.last_id.or(self.search.resume_after);
         let search = self.search.run();
         let begun = tokio::select! {
--- a/crates/clementinepond_entry/src/node/pick.rs
+++ b/crates/clementinepond_entry/src/node/pick.rs
@@ -92,6 +92,8 @@
     pub(crate) profile: &'a RequestProfile,
     pub(crate) account: Option<&'a AccountId>,
     pub(crate) deadline: LocalTime,
+    /// Moment until which the caller waits for the first token.
+    pub(crate) first_token_by: LocalTime,
     /// Endpoints that failed this request already.
     pub(crate) tried: &'a [EndpointId],
 }
@@ -122,6 +124,7 @@
             slots: engine.slots,
             kv_capacity: engine.kv_capacity,
             time_left: now.until(query.deadline),
+            patience: now.until(query.first_token_by),
         };
         let home = self.settings().data_centre.clone();
         let model_key = EndpointKey::of(target.model.as_str());
