--- a/crates/clementinepond_dispatch/src/peer/message.rs
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -11,18 +11,17 @@
     /// Account.
     pub account: AccountId,
     /// Units admitted since the VM's process started.
-    pub admitted: f64,
+    pub admitted: u64,
     /// Units asked for a second, refused ones included.
-    pub asked_per_s: f64,
-    /// Level of the VM's copy of the bucket.
-    pub level: f64,
+    pub asked_per_s: u32,
+    /// Level of the VM's copy of the bucket; below zero after use elsewhere.
+    pub level: i64,
 }
 
-/// Demand for one model at one VM.
+/// Demand for one model at one VM; whole tokens in messages.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "(u32, u32)", into = "(u32, u32)")]
 pub struct ModelDemand {
-    /// Requests a second.
-    pub arrivals_per_s: f32,
     /// Prompt tokens a second that no cache held.
     pub prefill_per_s: f32,
     /// Tokens generated a second.
@@ -34,13 +33,27 @@
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
         Self {
-            arrivals_per_s: self.arrivals_per_s + other.arrivals_per_s,
             prefill_per_s: self.prefill_per_s + other.prefill_per_s,
             output_per_s: self.output_per_s + other.output_per_s,
         }
     }
 }
 
+impl From<(u32, u32)> for ModelDemand {
+    fn from((prefill, output): (u32, u32)) -> Self {
+        Self {
+            prefill_per_s: prefill as f32,
+            output_per_s: output as f32,
+        }
+    }
+}
+
+impl From<ModelDemand> for (u32, u32) {
+    fn from(demand: ModelDemand) -> Self {
+        (demand.prefill_per_s as u32, demand.output_per_s as u32)
+    }
+}
+
 /// Regular news of a VM.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PeerNews {
@@ -117,7 +130,7 @@
     /// Parts of the prompt, which the engine holds from now on.
     pub parts: Vec<PromptPart>,
     /// Account, and the units admitted for it since the VM's process started.
-    pub account: Option<(AccountId, f64)>,
+    pub account: Option<(AccountId, u64)>,
 }
 
 /// Requests that a VM is sending to engines.
--- a/crates/clementinepond_dispatch/src/peer/peer_table.rs
+++ b/crates/clementinepond_dispatch/src/peer/peer_table.rs
@@ -107,11 +107,11 @@
                         .iter()
                         .find(|one| one.account == account.account)
                 })
-                .map_or(0.0, |one| one.admitted);
+                .map_or(0, |one| one.admitted);
             uses.push(RemoteUse {
                 account: account.account.clone(),
-                units: account.admitted - earlier,
-                level: account.level,
+                units: difference(account.admitted, earlier),
+                level: account.level as f64,
                 is_first: before.is_none(),
             });
         }
@@ -127,7 +127,7 @@
         vm: &VmId,
         incarnation: u64,
         account: &AccountId,
-        admitted: f64,
+        admitted: u64,
     ) -> Option<f64> {
         let news = self.peers.get_mut(vm)?.news.as_mut()?;
         if news.incarnation != incarnation {
@@ -137,7 +137,7 @@
             .accounts
             .iter_mut()
             .find(|one| one.account == *account)?;
-        let units = admitted - known.admitted;
+        let units = difference(admitted, known.admitted);
         known.admitted = admitted;
         Some(units)
     }
@@ -275,7 +275,7 @@
         let mut sum: FnvHashMap<AccountId, f64> = FnvHashMap::default();
         for (_, peer) in self.heard(now) {
             for account in peer.news.iter().flat_map(|news| &news.accounts) {
-                *sum.entry(account.account.clone()).or_default() += account.asked_per_s;
+                *sum.entry(account.account.clone()).or_default() += f64::from(account.asked_per_s);
             }
         }
         sum
@@ -294,3 +294,8 @@
         sum
     }
 }
+
+/// Returns how much a count has grown; it falls when a request is refunded.
+fn difference(after: u64, before: u64) -> f64 {
+    after as f64 - before as f64
+}
--- a/crates/clementinepond_dispatch/src/place/demand.rs
+++ b/crates/clementinepond_dispatch/src/place/demand.rs
@@ -8,8 +8,9 @@
 /// Time constant of the moving averages, in seconds; short against the
 /// seconds within which demand moves to other models.
 const MEMORY_S: f64 = 1.5;
-/// Demand below which a model is dropped from the news, in requests a second.
-const NEGLIGIBLE_PER_S: f32 = 0.01;
+/// Demand below which a model is dropped from the news, in tokens a second; a
+/// single request is told for some seconds.
+const NEGLIGIBLE_PER_S: f32 = 3.0;
 /// Prompt tokens that one engine reads in a second while it also generates.
 const PREFILL_TOKENS_PER_S: f64 = 24_000.0;
 /// Tokens that one engine generates in a second with a comfortable batch.
@@ -31,7 +32,6 @@
         *demand = faded(*demand, *at, now);
         *at = now;
         let step = (1.0 / MEMORY_S) as f32;
-        demand.arrivals_per_s += step;
         demand.prefill_per_s += prefill as f32 * step;
         demand.output_per_s += output as f32 * step;
     }
@@ -44,16 +44,19 @@
             .map(|(model, (demand, at))| (*model, faded(*demand, *at, now)))
             .collect();
         self.models
-            .retain(|_, (demand, at)| faded(*demand, *at, now).arrivals_per_s > NEGLIGIBLE_PER_S);
+            .retain(|_, (demand, at)| tokens_per_s(faded(*demand, *at, now)) > NEGLIGIBLE_PER_S);
         current
     }
 }
 
+fn tokens_per_s(demand: ModelDemand) -> f32 {
+    demand.prefill_per_s + demand.output_per_s
+}
+
 fn faded(demand: ModelDemand, at: LocalTime, now: LocalTime) -> ModelDemand {
     let seconds = now.since(at).micros() as f64 / 1e6;
     let factor = (-seconds / MEMORY_S).exp() as f32;
     ModelDemand {
-        arrivals_per_s: demand.arrivals_per_s * factor,
         prefill_per_s: demand.prefill_per_s * factor,
         output_per_s: demand.output_per_s * factor,
     }
--- a/crates/clementinepond_entry/src/node/contact.rs
+++ b/crates/clementinepond_entry/src/node/contact.rs
@@ -86,9 +86,9 @@
             .retain(|_, at| now.since(*at) < EJECTION_NEWS);
         let accounts = state.quotas.figures(now).map(|(id, figures)| AccountNews {
             account: id.clone(),
-            admitted: figures.admitted,
-            asked_per_s: figures.asked_per_s,
-            level: figures.level,
+            admitted: figures.admitted as u64,
+            asked_per_s: figures.asked_per_s as u32,
+            level: figures.level as i64,
         });
         PeerNews {
             incarnation: self.incarnation,
--- a/crates/clementinepond_entry/src/node/fleet_state.rs
+++ b/crates/clementinepond_entry/src/node/fleet_state.rs
@@ -16,6 +16,15 @@
 /// Age of the store's last answer up to which the VM counts as in contact.
 const CONTACT_AGE: TimeSpan = TimeSpan::from_millis(4_200);
 
+/// Multiple of the usual pause between calls at the first watcher of a data
+/// centre, and at the second; the latter stays well within the drain time.
+const FIRST_WATCHER_PAUSES: u64 = 4;
+const STANDBY_PAUSES: u64 = 12;
+/// Time after its first list for which a VM hears who watches, before it
+/// watches itself: in a fleet that is known to be large, and otherwise.
+const LARGE_ROLE_WAIT: TimeSpan = TimeSpan::from_millis(1_500);
+const ROLE_WAIT: TimeSpan = TimeSpan::from_millis(400);
+
 impl EntryNode {
     /// Puts a configuration in force if it is newer than the current one.
     pub(crate) fn offer_configuration(&self, spec: &Value, source: &str) {
@@ -274,7 +283,7 @@
     }
 
     /// Returns how long changes collect: longer in a large fleet, where they
-    /// are many, and a little longer at the second watcher, which stands by.
+    /// are many, and much longer at the second watcher, which stands by.
     pub(crate) fn batch_pause(&self, pause: TimeSpan) -> TimeSpan {
         let settings = self.settings();
         let now = BootClock::now();
@@ -288,10 +297,23 @@
             &settings.data_centre,
             now,
         );
-        pause.fraction(if rank == 0 { 3 } else { 4 }, 1)
+        let factor = if rank == 0 {
+            FIRST_WATCHER_PAUSES
+        } else {
+            STANDBY_PAUSES
+        };
+        pause.fraction(factor, 1)
+    }
+
+    /// Tells whether this VM watches the store itself, having listed its objects
+    /// first at `listed_at`.
+    pub(crate) fn may_watch(&self, listed_at: LocalTime, now: LocalTime) -> bool {
+        let is_large = self.state.borrow().peers.contact(now).1 >= SMALL_FLEET;
+        let wait = if is_large { LARGE_ROLE_WAIT } else { ROLE_WAIT };
+        now.since(listed_at) >= wait && self.is_watcher(now)
     }
 
-    /// Tells whether this VM watches the store itself.
+    /// Tells whether this VM is in line to watch the store.
     pub(crate) fn is_watcher(&self, now: LocalTime) -> bool {
         let settings = self.settings();
         let state = self.state.borrow();
--- a/crates/clementinepond_entry/src/node/pick.rs
+++ b/crates/clementinepond_entry/src/node/pick.rs
@@ -234,7 +234,7 @@
         let address = chosen.endpoint.address;
         let account = query
             .account
-            .map(|id| (id.clone(), state.quotas.admitted(id)));
+            .map(|id| (id.clone(), state.quotas.admitted(id) as u64));
         drop(guard);
         let run = SentRun {
             endpoint: id.clone(),
--- a/crates/clementinepond_entry/src/store/watch.rs
+++ b/crates/clementinepond_entry/src/store/watch.rs
@@ -48,8 +48,12 @@
     let mut revision: Option<u64> = None;
     let mut pause_ms = FIRST_PAUSE_MS;
     let mut failing_since = None;
+    let mut listed_at = None;
     while !stop.is_cancelled() {
-        if revision.is_some() && !node.is_watcher(BootClock::now()) {
+        let now = BootClock::now();
+        if let (Some(_), Some(since)) = (revision, listed_at)
+            && !node.may_watch(since, now)
+        {
             // What a follower remembers of the store's history grows old.
             if failing_since.take().is_some() {
                 node.note_store(true, target.kind());
@@ -89,6 +93,9 @@
                 pause_ms = FIRST_PAUSE_MS;
                 revision = Some(page.revision.max(revision.unwrap_or(0)));
                 let has_news = !page.objects.is_empty();
+                if is_list {
+                    listed_at.get_or_insert_with(BootClock::now);
+                }
                 take_page(&node, target, page, is_list);
                 node.note_store_answer(BootClock::now());
                 if has_news && target == WatchTarget::Endpoints {
