--- a/crates/clementinepond_dispatch/src/ledger/load_ledger.rs
+++ b/crates/clementinepond_dispatch/src/ledger/load_ledger.rs
@@ -8,8 +8,8 @@
 #[derive(Debug, Default)]
 pub struct LoadLedger {
     own: FnvHashMap<EndpointKey, LoadShare>,
-    /// Prompt tokens of own requests without a first token, by rank.
-    own_unread: FnvHashMap<(EndpointKey, u8), u32>,
+    /// Prompt tokens of own requests without a first token.
+    own_unread: FnvHashMap<EndpointKey, u32>,
     /// Prompt text that all VMs sent.
     queues: FnvHashMap<EndpointKey, ReadQueue>,
     remote: FnvHashMap<EndpointKey, LoadShare>,
@@ -24,18 +24,18 @@
     }
 
     /// Counts the prompt text of a request that is being sent.
-    pub fn start_read(&mut self, key: EndpointKey, rank: u8, tokens: u32, now: LocalTime) {
-        let unread = self.own_unread.entry((key, rank)).or_default();
+    pub fn start_read(&mut self, key: EndpointKey, tokens: u32, now: LocalTime) {
+        let unread = self.own_unread.entry(key).or_default();
         *unread = unread.saturating_add(tokens);
-        self.queues.entry(key).or_default().add(rank, tokens, now);
+        self.queues.entry(key).or_default().add(tokens, now);
     }
 
     /// Counts the first token of a request, or its end without one.
-    pub fn finish_read(&mut self, key: EndpointKey, rank: u8, tokens: u32) {
-        if let Some(unread) = self.own_unread.get_mut(&(key, rank)) {
+    pub fn finish_read(&mut self, key: EndpointKey, tokens: u32) {
+        if let Some(unread) = self.own_unread.get_mut(&key) {
             *unread = unread.saturating_sub(tokens);
             if *unread == 0 {
-                self.own_unread.remove(&(key, rank));
+                self.own_unread.remove(&key);
             }
         }
     }
@@ -56,10 +56,10 @@
         peer: &VmId,
         key: EndpointKey,
         share: LoadShare,
-        (rank, unread): (u8, u32),
+        unread: u32,
         now: LocalTime,
     ) {
-        self.queues.entry(key).or_default().add(rank, unread, now);
+        self.queues.entry(key).or_default().add(unread, now);
         let remote = self.remote.entry(key).or_default();
         *remote = remote.plus(share);
         if let Some(loads) = self.by_peer.get_mut(peer) {
@@ -104,12 +104,10 @@
     /// Returns the prompt tokens that an endpoint still has to read before those
     /// of a new request.
     #[must_use]
-    pub fn unread(&self, key: EndpointKey, rank: u8, now: LocalTime) -> f64 {
+    pub fn unread(&self, key: EndpointKey, now: LocalTime) -> f64 {
         let queue = self.queues.get(&key);
-        let waiting = queue.map_or(0.0, |queue| queue.ahead(rank, now));
-        let own: u32 = (0..=rank)
-            .filter_map(|rank| self.own_unread.get(&(key, rank)))
-            .sum();
+        let waiting = queue.map_or(0.0, |queue| queue.waiting(now));
+        let own = self.own_unread.get(&key).copied().unwrap_or(0);
         waiting.max(f64::from(own))
     }
 
--- a/crates/clementinepond_dispatch/src/peer/message.rs
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -121,8 +121,6 @@
 pub struct SentRun {
     /// Engine.
     pub endpoint: EndpointId,
-    /// Rank at the engine; 0 is the most urgent.
-    pub rank: u8,
     /// Prompt tokens that the engine has to read.
     pub unread_tokens: u32,
     /// Tokens of prompt and output that the run may come to hold.
--- a/crates/clementinepond_dispatch/src/select/engine_choice.rs
+++ b/crates/clementinepond_dispatch/src/select/engine_choice.rs
@@ -77,8 +77,6 @@
     pub kv_capacity: u64,
     /// Time that the caller still waits for the whole answer.
     pub time_left: TimeSpan,
-    /// Time within which the first token is on time.
-    pub on_time_within: TimeSpan,
     /// Time that it still waits for the first token.
     pub patience: TimeSpan,
 }
@@ -109,23 +107,19 @@
         .tokens
         .prompt
         .saturating_sub(candidate.cached_tokens) as f64;
-    let text = candidate.unread_tokens + uncached;
-    let reading = text / READ_TOKENS_PER_MS + STEP_MS;
+    let reading = (candidate.unread_tokens + uncached) / READ_TOKENS_PER_MS + STEP_MS;
     let over = f64::from((candidate.load.runs + 1).saturating_sub(request.slots));
     let slot_wait = over * SLOT_TURN_MS / f64::from(request.slots.max(1));
     let capacity = request.kv_capacity.max(1) as f64;
     let booked =
         (f64::from(candidate.load.context_tokens) + request.tokens.total() as f64) / capacity;
     let memory_wait = (booked - MEMORY_COMFORT).max(0.0) * MEMORY_OVERBOOKED_MS;
-    reading * candidate.pace + slot_wait + memory_wait + adapter_time(candidate.adapter)
-}
-
-const fn adapter_time(readiness: AdapterReadiness) -> f64 {
-    match readiness {
+    let adapter = match candidate.adapter {
         AdapterReadiness::Ready => 0.0,
         AdapterReadiness::Missing => ADAPTER_LOAD_MS,
         AdapterReadiness::Crowded => ADAPTER_SWAP_MS,
-    }
+    };
+    reading * candidate.pace + slot_wait + memory_wait + adapter
 }
 
 /// Chooses an engine.
@@ -156,13 +150,8 @@
     };
     let time = request.time_left.millis() as f64 * TIME_SHARE;
     let patience = time.min(request.patience.millis() as f64 * PATIENCE_SHARE);
-    // A queue as long as the objective makes everybody late, those who are
-    // refused and return included; the same number is served from a short one.
-    let queue = first_token - adapter_time(candidates[index].adapter);
-    let on_time = request.on_time_within.millis() as f64;
-    let excess = (first_token - patience).max(queue - on_time);
-    if excess > 0.0 {
-        let excess = excess.max(1.0);
+    if first_token > patience {
+        let excess = (first_token - patience).max(1.0);
         return EngineVerdict::Refuse {
             retry_after: TimeSpan::from_millis(excess as u64),
         };
--- a/crates/clementinepond_entry/src/caller/gate.rs
+++ b/crates/clementinepond_entry/src/caller/gate.rs
@@ -25,13 +25,6 @@
 /// Largest part of a caller's time for which it is asked to stay away.
 const RETRY_PARTS: (u64, u64) = (1, 4);
 
-/// Rank added for a request whose objective leaves time.
-const DEFERRED_RANK: u8 = 2;
-/// Objective from which a request counts as deferred.
-const DEFERRED_TARGET: TimeSpan = TimeSpan::from_millis(1_500);
-/// Rank of the most urgent requests; leaves room for more urgent ones.
-const FIRST_RANK: u8 = 2;
-
 /// A request that may be sent.
 #[derive(Debug)]
 pub(crate) struct AdmittedRequest {
@@ -64,12 +57,6 @@
         self.route.repeat.is_stream()
     }
 
-    /// Returns the rank at an engine: deferred work makes way.
-    pub(crate) fn engine_rank(&self) -> u8 {
-        let is_deferred = self.route.latency_target >= DEFERRED_TARGET;
-        FIRST_RANK + self.rank.min(2) + if is_deferred { DEFERRED_RANK } else { 0 }
-    }
-
     /// Returns the moment at which a caller leaves that has got nothing since
     /// `silent_since`.
     pub(crate) fn patience_end(&self, silent_since: LocalTime) -> LocalTime {
--- a/crates/clementinepond_entry/src/caller/relay.rs
+++ b/crates/clementinepond_entry/src/caller/relay.rs
@@ -13,7 +13,6 @@
 use clementinepond_platform::AttemptHeaders;
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
 use hyper::StatusCode;
-use rand::RngExt;
 use std::rc::Rc;
 
 /// Time after which a caller may come back when no endpoint holds the model;
@@ -21,11 +20,6 @@
 const NO_COPY_RETRY: TimeSpan = TimeSpan::from_millis(1_000);
 /// Time after which a caller may come back when an endpoint refused.
 const REFUSED_RETRY: TimeSpan = TimeSpan::from_millis(150);
-/// Time in which a crowded model's queue changes, on top of the predicted
-/// excess; who comes back sooner meets the same queue.
-const CROWDED_RETRY: TimeSpan = TimeSpan::from_millis(1_000);
-/// Spread of that time, in hundredths, so that callers do not return together.
-const CROWDED_SPREAD: std::ops::Range<u64> = 50..150;
 /// Part of a caller's time within which a copy that is being loaded is awaited.
 const COPY_WAIT_PARTS: (u64, u64) = (1, 2);
 /// Time by which a load may be late.
@@ -47,6 +41,15 @@
 const SILENCE_FACTOR: u64 = 5;
 /// Shortest silence that counts.
 const SILENCE_FLOOR: TimeSpan = TimeSpan::from_millis(400);
+/// Rank added for a request that will be late in any case.
+const LATE_RANK: u8 = 3;
+/// Rank added for a request whose objective leaves time.
+const DEFERRED_RANK: u8 = 2;
+/// Objective from which a request counts as deferred.
+const DEFERRED_TARGET: TimeSpan = TimeSpan::from_millis(1_500);
+/// Rank of the most urgent requests; leaves room for more urgent ones.
+const FIRST_RANK: u8 = 2;
+
 /// An answer that has begun.
 #[derive(Debug)]
 pub(crate) struct BegunAnswer {
@@ -139,9 +142,6 @@
                 profile: &request.profile,
                 account: request.account.as_ref(),
                 deadline: request.deadline,
-                arrival: request.arrival,
-                latency_target: request.route.latency_target,
-                rank: request.engine_rank(),
                 first_token_by: request.patience_end(self.silent_since),
                 tried: &self.tried,
             };
@@ -215,7 +215,7 @@
                 endpoint: &picked.id,
                 account: request.account.as_ref(),
                 time_left: TimeSpan::ZERO,
-                priority: request.engine().map(|_| picked.rank),
+                priority: request.engine().map(|_| self.rank(picked)),
                 resume_after: self.resume_after,
             },
             deadline: request.deadline,
@@ -249,6 +249,18 @@
         (limit < left.fraction(3, 4)).then_some(limit)
     }
 
+    /// Returns the rank at an engine: late and deferred work makes way.
+    fn rank(&self, picked: &PickedEndpoint) -> u8 {
+        let request = &self.request;
+        let waited = BootClock::now().since(request.arrival);
+        let is_late = waited + picked.predicted > request.route.latency_target;
+        let is_deferred = request.route.latency_target >= DEFERRED_TARGET;
+        FIRST_RANK
+            + request.rank.min(2)
+            + if is_deferred { DEFERRED_RANK } else { 0 }
+            + if is_late { LATE_RANK } else { 0 }
+    }
+
     fn take_answer(
         &mut self,
         answer: AttemptAnswer,
@@ -444,10 +456,7 @@
             RefusalCause::NoEndpoint => self.give_up("no_endpoint", NO_COPY_RETRY),
             RefusalCause::NoAdapter => self.give_up("no_placement_duty", NO_COPY_RETRY),
             RefusalCause::NoCopy => self.give_up("no_copy", NO_COPY_RETRY),
-            RefusalCause::Crowded(span) => {
-                let spread = rand::rng().random_range(CROWDED_SPREAD);
-                self.give_up("crowded", span + CROWDED_RETRY.fraction(spread, 100))
-            }
+            RefusalCause::Crowded(span) => self.give_up("crowded", span),
         }
     }
 
--- a/crates/clementinepond_entry/src/caller/stream.rs
+++ b/crates/clementinepond_entry/src/caller/stream.rs
@@ -256,7 +256,7 @@
         picked.guard.note_first_token();
         let measured = now.since(sent_at);
         self.pace.first_piece.get_or_insert(measured);
-        self.node.note_pace(picked, measured);
+        self.node.note_pace(&picked.id, picked.predicted, measured);
         if !std::mem::replace(&mut self.has_begun, true) {
             let waited = now.since(self.request.arrival);
             self.node.stats.first_byte.record(waited.millis());
--- a/crates/clementinepond_entry/src/node/pick.rs
+++ b/crates/clementinepond_entry/src/node/pick.rs
@@ -24,8 +24,6 @@
 const OWNER_CACHE_SHARES: [f64; 2] = [0.85, 0.7];
 /// Weight of a new measurement in an endpoint's pace.
 const PACE_WEIGHT: f64 = 0.15;
-/// Rank added for a request that will be late in any case.
-const LATE_RANK: u8 = 3;
 /// Bounds of an endpoint's pace.
 const PACE_RANGE: (f64, f64) = (0.4, 6.0);
 /// Weight of a new measurement in an endpoint's time a request.
@@ -53,8 +51,6 @@
     pub(crate) address: SocketAddrV4,
     /// Predicted time to the first token; zero for plain services.
     pub(crate) predicted: TimeSpan,
-    /// Rank at an engine.
-    pub(crate) rank: u8,
     /// Adapter that has to be loaded there first.
     pub(crate) missing_adapter: Option<AdapterPlace>,
     pub(crate) guard: RunGuard,
@@ -67,7 +63,6 @@
     id: EndpointId,
     key: EndpointKey,
     share: LoadShare,
-    rank: u8,
     /// Prompt tokens that count as unread until the first token.
     unread: Cell<u32>,
 }
@@ -77,16 +72,14 @@
     pub(crate) fn note_first_token(&self) {
         let tokens = self.unread.take();
         let mut state = self.node.state.borrow_mut();
-        state.loads.finish_read(self.key, self.rank, tokens);
+        state.loads.finish_read(self.key, tokens);
     }
 }
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
         let mut state = self.node.state.borrow_mut();
-        state
-            .loads
-            .finish_read(self.key, self.rank, self.unread.get());
+        state.loads.finish_read(self.key, self.unread.get());
         state.loads.finish(self.key, self.share);
         state.health.end_run(&self.id);
     }
@@ -99,11 +92,6 @@
     pub(crate) profile: &'a RequestProfile,
     pub(crate) account: Option<&'a AccountId>,
     pub(crate) deadline: LocalTime,
-    pub(crate) arrival: LocalTime,
-    /// Time within which the first token is on time.
-    pub(crate) latency_target: TimeSpan,
-    /// Rank at an engine, unless the request will be late.
-    pub(crate) rank: u8,
     /// Moment until which the caller waits for the first token.
     pub(crate) first_token_by: LocalTime,
     /// Endpoints that failed this request already.
@@ -131,16 +119,15 @@
     ) -> Result<PickedEndpoint, RefusalCause> {
         let now = BootClock::now();
         let tokens = query.profile.tokens.unwrap_or_default();
-        let model_key = EndpointKey::of(target.model.as_str());
         let request = EngineRequest {
             tokens,
             slots: engine.slots,
             kv_capacity: engine.kv_capacity,
             time_left: now.until(query.deadline),
-            on_time_within: query.latency_target,
             patience: now.until(query.first_token_by),
         };
         let home = self.settings().data_centre.clone();
+        let model_key = EndpointKey::of(target.model.as_str());
         let weights = weights_key(target);
         let guard = self.state.borrow();
         let state = &*guard;
@@ -201,7 +188,7 @@
                 EngineCandidate {
                     endpoint: entry,
                     load: state.loads.total(key),
-                    unread_tokens: state.loads.unread(key, query.rank, now),
+                    unread_tokens: state.loads.unread(key, now),
                     cached_tokens: seen.max(assumed),
                     grade: state.health.grade(&entry.id, now),
                     adapter,
@@ -243,8 +230,6 @@
             }
             _ => None,
         };
-        let is_late = now + predicted > query.arrival + query.latency_target;
-        let rank = query.rank + if is_late { LATE_RANK } else { 0 };
         let id = chosen.endpoint.id.clone();
         let address = chosen.endpoint.address;
         let account = query
@@ -253,7 +238,6 @@
         drop(guard);
         let run = SentRun {
             endpoint: id.clone(),
-            rank,
             unread_tokens: clip(prefill),
             context_tokens: context_tokens(tokens, query.profile),
             weights,
@@ -262,7 +246,6 @@
         };
         let guard = self.start_engine_run(run, engine.kv_capacity, now);
         Ok(PickedEndpoint {
-            rank,
             id,
             address,
             predicted,
@@ -314,12 +297,11 @@
             runs: 1,
             context_tokens: 0,
         };
-        let guard = self.start_run(&id, share, (0, 0));
+        let guard = self.start_run(&id, share, 0);
         Ok(PickedEndpoint {
             id,
             address,
             predicted: TimeSpan::ZERO,
-            rank: 0,
             missing_adapter: None,
             guard,
         })
@@ -332,11 +314,9 @@
             runs: 1,
             context_tokens: run.context_tokens,
         };
-        let guard = self.start_run(&run.endpoint, share, (run.rank, run.unread_tokens));
+        let guard = self.start_run(&run.endpoint, share, run.unread_tokens);
         let mut state = self.state.borrow_mut();
-        state
-            .loads
-            .start_read(key, run.rank, run.unread_tokens, now);
+        state.loads.start_read(key, run.unread_tokens, now);
         state
             .parts
             .note_read(key, run.weights, &run.parts, capacity, now);
@@ -345,12 +325,7 @@
         guard
     }
 
-    fn start_run(
-        self: &Rc<Self>,
-        id: &EndpointId,
-        share: LoadShare,
-        (rank, unread): (u8, u32),
-    ) -> RunGuard {
+    fn start_run(self: &Rc<Self>, id: &EndpointId, share: LoadShare, unread: u32) -> RunGuard {
         let key = EndpointKey::of(id.as_str());
         let mut state = self.state.borrow_mut();
         state.loads.start(key, share);
@@ -360,7 +335,6 @@
             id: id.clone(),
             key,
             share,
-            rank,
             unread: Cell::new(unread),
         }
     }
@@ -389,11 +363,10 @@
     }
 
     /// Compares a measured time to the first token with the predicted one.
-    pub(crate) fn note_pace(&self, picked: &PickedEndpoint, measured: TimeSpan) {
-        let predicted = picked.predicted;
+    pub(crate) fn note_pace(&self, id: &EndpointId, predicted: TimeSpan, measured: TimeSpan) {
         let ratio = (measured.micros() as f64 + 3e3) / (predicted.micros() as f64 + 3e3);
         let mut state = self.state.borrow_mut();
-        let pace = state.paces.entry(picked.id.clone()).or_insert(1.0);
+        let pace = state.paces.entry(id.clone()).or_insert(1.0);
         let target = (*pace * ratio).clamp(PACE_RANGE.0, PACE_RANGE.1);
         *pace += (target - *pace) * PACE_WEIGHT;
     }
--- a/crates/clementinepond_entry/src/node/run_news.rs
+++ b/crates/clementinepond_entry/src/node/run_news.rs
@@ -89,7 +89,7 @@
             };
             state
                 .loads
-                .start_remote(from, key, share, (run.rank, run.unread_tokens), now);
+                .start_remote(from, key, share, run.unread_tokens, now);
             state
                 .parts
                 .note_read(key, run.weights, &run.parts, engine.kv_capacity, now);
