--- a/crates/clementinepond_dispatch/src/peer/peer_table.rs
+++ b/crates/clementinepond_dispatch/src/peer/peer_table.rs
@@ -23,7 +23,7 @@
 /// partitions that the platform announces.
 const FORGET_AFTER: TimeSpan = TimeSpan::from_secs(25);
 
-/// Age of the last word up to which a VM knows what a peer admits; a few times
+/// Age of the last message up to which a VM knows what a peer admits; a few times
 /// the usual gap between a busy peer's requests.
 const CURRENT_AGE: TimeSpan = TimeSpan::from_millis(500);
 /// Part of the peers that must be heard so lately: enough of those in contact
@@ -121,7 +121,7 @@
     }
 
     /// Notes what a peer has admitted for an account; returns the units since its
-    /// last word, or nothing when the peer's process is not known.
+    /// last message, or nothing when the peer's process is not known.
     pub fn note_admitted(
         &mut self,
         vm: &VmId,
@@ -143,7 +143,7 @@
     }
 
     /// Notes that a peer's process was heard.
-    pub fn note_word(&mut self, vm: &VmId, incarnation: u64, now: LocalTime) {
+    pub fn note_heard(&mut self, vm: &VmId, incarnation: u64, now: LocalTime) {
         if let Some(peer) = self.peers.get_mut(vm) {
             let news = peer.news.as_ref();
             if news.is_some_and(|news| news.incarnation == incarnation) {
--- a/crates/clementinepond_entry/src/caller/request_end.rs
+++ b/crates/clementinepond_entry/src/caller/request_end.rs
@@ -47,7 +47,7 @@
         let now = BootClock::now();
         let target = request.profile.target.as_ref();
         log::info!(
-            "event=request_ended request={} route={} service={} model={} account={} endpoint={} outcome={} status={} endpoints={} waited_ms={} {} duration_ms={} configuration={}",
+            "event=request_ended request={} route={} service={} model={} account={} endpoint={} outcome={} status={} endpoints={} waited_ms={}{} duration_ms={} configuration={}",
             request.profile.id.as_ref().map_or("-", |id| id.as_str()),
             request.route.name,
             request.service,
@@ -58,7 +58,8 @@
             self.status,
             self.sent,
             self.sent_at.since(request.arrival).millis(),
-            self.pace.map_or_else(String::new, |pace| pace.to_string()),
+            self.pace
+                .map_or_else(String::new, |pace| format!(" {pace}")),
             now.since(request.arrival).millis(),
             request.table.policy().version,
         );
--- a/crates/clementinepond_entry/src/node/run_news.rs
+++ b/crates/clementinepond_entry/src/node/run_news.rs
@@ -1,4 +1,4 @@
-//! Word of requests as they are sent to engines.
+//! Announcements of requests as they are sent to engines.
 //!
 //! An engine's queue is shorter than the time between two regular news, so VMs
 //! that only knew the news would all turn to the same engine.
@@ -8,8 +8,8 @@
 use clementinepond_dispatch::peer::{PeerMessage, RunNews, SentRun};
 use clementinepond_types::{LocalTime, VmId};
 
-/// Datagrams a second that a VM spends on word of its requests; beyond, several
-/// requests share one. Costs the smallest VMs a fiftieth of their processor.
+/// Datagrams a second that a VM spends on announcing its requests; beyond,
+/// several requests share one. Costs the smallest VMs a fiftieth of their processor.
 const DATAGRAMS_PER_S: f64 = 800.0;
 
 /// Requests that peers are yet to be told of.
@@ -58,14 +58,14 @@
         }
     }
 
-    /// Takes over a peer's word of its requests.
+    /// Takes over the requests that a peer announces.
     pub(crate) fn take_runs(&self, from: &VmId, news: RunNews, now: LocalTime) {
         let Some(table) = self.table() else {
             return;
         };
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
-        state.peers.note_word(from, news.incarnation, now);
+        state.peers.note_heard(from, news.incarnation, now);
         for run in news.runs {
             // A process that is not known yet tells its use in its first news.
             if let Some((account, admitted)) = &run.account
