--- a/crates/clementinepond_dispatch/src/fleet/engine.rs
+++ b/crates/clementinepond_dispatch/src/fleet/engine.rs
@@ -30,7 +30,7 @@
     pub kv_capacity: u64,
     /// Memory for weights and adapters, in megabytes.
     pub weights_mb: f64,
-    /// Adapters that an engine holds at most, those in transit included.
+    /// Largest number of adapters on an engine, including those in transit.
     pub adapter_slots: u32,
     /// Loads a second that the weight store allows over all engines; 0 means no limit.
     pub loads_per_s: f64,
--- a/crates/clementinepond_dispatch/src/fleet/policy.rs
+++ b/crates/clementinepond_dispatch/src/fleet/policy.rs
@@ -60,7 +60,7 @@
     pub priority: u8,
     /// Services that take the requests.
     pub targets: Vec<RouteTarget>,
-    /// Endpoints that one request may be sent to at most.
+    /// Largest number of endpoints that one request is sent to.
     pub max_attempts: u32,
     /// Whether callers need no key.
     pub is_anonymous: bool,
--- a/crates/clementinepond_dispatch/src/fleet/request.rs
+++ b/crates/clementinepond_dispatch/src/fleet/request.rs
@@ -51,7 +51,7 @@
     pub tokens: Option<TokenDemand>,
     /// Parts of the prompt in order, from the most widely shared to its own.
     pub parts: Vec<PromptPart>,
-    /// Event after which a stream is to go on.
+    /// Event after which a stream resumes.
     pub resume_after: Option<u64>,
     /// Caller's estimate of the output, in tokens.
     pub output_hint: Option<u64>,
--- a/crates/clementinepond_dispatch/src/health/health_table.rs
+++ b/crates/clementinepond_dispatch/src/health/health_table.rs
@@ -60,7 +60,7 @@
         true
     }
 
-    /// Sets an endpoint aside on the word of a peer.
+    /// Ejects an endpoint that a peer has ejected.
     pub fn eject(&mut self, id: &EndpointId, now: LocalTime) {
         let health = self.endpoints.entry(id.clone()).or_default();
         if !health.is_ejected(now) {
--- a/crates/clementinepond_dispatch/src/peer/message.rs
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -97,7 +97,7 @@
     pub adapter: EndpointKey,
 }
 
-/// What the holder of the placement duty tells all VMs.
+/// News from the holder of the placement duty to all VMs.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct PlacementNews {
     /// Fencing number of the holder.
@@ -147,7 +147,7 @@
 pub enum PeerMessage {
     /// Regular news.
     News(Box<PeerNews>),
-    /// Requests being sent, told at once.
+    /// Requests being sent to engines.
     Runs(RunNews),
     /// News of placement.
     Placement(Box<PlacementNews>),
@@ -155,7 +155,7 @@
     Entries(EntryNews),
     /// A request waits for an adapter, or has used it.
     AdapterWanted {
-        /// Endpoint that is to load it.
+        /// Endpoint that should load it.
         endpoint: EndpointId,
         /// Model.
         model: ModelId,
--- a/crates/clementinepond_dispatch/src/peer/mod.rs
+++ b/crates/clementinepond_dispatch/src/peer/mod.rs
@@ -1,4 +1,4 @@
-//! What VMs tell each other, and what a VM knows of its peers.
+//! Messages between VMs, and the table of known peers.
 
 mod message;
 mod peer_table;
--- a/crates/clementinepond_dispatch/src/peer/peer_table.rs
+++ b/crates/clementinepond_dispatch/src/peer/peer_table.rs
@@ -17,7 +17,7 @@
 /// VMs of a data centre that watch the store for the others; two, so that one
 /// may be lost.
 const WATCHERS: usize = 2;
-/// Largest fleet in which each VM watches the store by itself.
+/// Largest fleet in which every VM watches the store itself.
 pub const SMALL_FLEET: usize = 12;
 /// Silence after which a peer no longer counts at all; longer than the
 /// partitions that the platform announces.
@@ -152,7 +152,7 @@
         }
     }
 
-    /// Tells whether this VM knows what the others admit as it happens.
+    /// Tells whether knowledge of the peers' quota use is up to date.
     #[must_use]
     pub fn is_current(&self, now: LocalTime) -> bool {
         let fresh = self
--- a/crates/clementinepond_dispatch/src/place/choose.rs
+++ b/crates/clementinepond_dispatch/src/place/choose.rs
@@ -11,10 +11,10 @@
 /// Share of the crowded model's work a copy that a model giving up a copy may
 /// reach at most; keeps moves from going back and forth.
 const GIVE_UP_SHARE: f64 = 0.6;
-/// Age below which a copy is not given up again.
+/// Age below which a copy is not evicted.
 const SETTLING_TIME: TimeSpan = TimeSpan::from_secs(4);
 
-/// One move: give up copies at an engine, then load a model there.
+/// One move: evict copies from an engine, then load a model there.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlacementMove {
     /// Index of the engine.
@@ -123,7 +123,7 @@
     best.map(|(_, chosen)| chosen)
 }
 
-/// Chooses copies to give up so that the model fits; returns them with the
+/// Chooses copies to evict so that the model fits; returns them with the
 /// work a copy that the worst of them will reach.
 fn make_room(
     view: &PlacementView,
--- a/crates/clementinepond_dispatch/src/place/demand.rs
+++ b/crates/clementinepond_dispatch/src/place/demand.rs
@@ -9,7 +9,7 @@
 /// seconds within which demand moves to other models.
 const MEMORY_S: f64 = 1.5;
 /// Demand below which a model is dropped from the news, in tokens a second; a
-/// single request is told for some seconds.
+/// single request stays in the news for some seconds.
 const NEGLIGIBLE_PER_S: f32 = 3.0;
 /// Prompt tokens that one engine reads in a second while it also generates.
 const PREFILL_TOKENS_PER_S: f64 = 24_000.0;
--- a/crates/clementinepond_dispatch/src/place/mod.rs
+++ b/crates/clementinepond_dispatch/src/place/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! Answers demand that moves between models within seconds: the busy models
 //! get as many copies as memory allows, every model keeps one. `choose`
-//! decides which copy to add and which to give up; `planner` turns that into
-//! orders, each of which must be safe whatever became of the ones before.
+//! decides which copy to add and which to evict; `planner` turns that into
+//! orders, each of which is safe for any outcome of the pending ones.
 
 mod choose;
 mod demand;
--- a/crates/clementinepond_dispatch/src/place/order.rs
+++ b/crates/clementinepond_dispatch/src/place/order.rs
@@ -4,7 +4,7 @@
 use clementinepond_types::{AdapterId, EndpointId, ModelId};
 use std::net::SocketAddrV4;
 
-/// What an endpoint is told to do.
+/// Operation ordered of an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum EndpointOrder {
     /// Load a model's newest weights.
@@ -33,12 +33,12 @@
     pub fence: u64,
 }
 
-/// What became of an order.
+/// Outcome of an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderReply {
     /// It is being carried out.
     Accepted,
-    /// What it asks for already holds.
+    /// The endpoint is already in the requested state.
     Holds,
     /// Another order is under way, or the count of orders differs.
     Conflict,
--- a/crates/clementinepond_dispatch/src/place/order_book.rs
+++ b/crates/clementinepond_dispatch/src/place/order_book.rs
@@ -1,4 +1,4 @@
-//! What one endpoint may hold, whatever became of the orders to it.
+//! Upper bound of what one endpoint holds, given orders of unknown outcome.
 
 use super::order::{EndpointOrder, OrderReply};
 use crate::fleet::EndpointEntry;
--- a/crates/clementinepond_dispatch/src/place/planner/mod.rs
+++ b/crates/clementinepond_dispatch/src/place/planner/mod.rs
@@ -241,7 +241,7 @@
         book.adapters = adapters;
     }
 
-    /// Does what is due.
+    /// Advances the planner to `now` and returns the effects that are due.
     pub fn step(&mut self, input: &PlannerInput<'_>, now: LocalTime) -> Vec<PlannerEffect> {
         let mut effects = Vec::new();
         self.earn_credit(input.policy, now);
--- a/crates/clementinepond_dispatch/src/place/planner/moves.rs
+++ b/crates/clementinepond_dispatch/src/place/planner/moves.rs
@@ -13,15 +13,15 @@
 /// Time between the announcement that a copy closes and its unload; covers
 /// the news' way to all VMs.
 const CLOSING_NOTICE: TimeSpan = TimeSpan::from_millis(300);
-/// Moves started in one search at most.
+/// Largest number of moves started by one search.
 const MOVES_A_SEARCH: usize = 4;
 /// Time for which a model without a copy may just be on its way back: endpoints
 /// list themselves within a heartbeat of their start.
 const LOST_PATIENCE: TimeSpan = TimeSpan::from_millis(2_500);
 /// The same when requests ask for the model.
 const WANTED_PATIENCE: TimeSpan = TimeSpan::from_millis(250);
-/// Part of the loads that the store's rate keeps on their way which may be so
-/// at once; beyond, they slow each other down.
+/// Bound on concurrent loads, as a part of the store's rate times the longest
+/// load; beyond it the store slows all loads down.
 const STORE_LOAD_PART: f64 = 0.87;
 
 impl PlacementPlanner {
@@ -233,7 +233,7 @@
     }
 }
 
-/// Returns the memory that stays free whatever became of earlier orders.
+/// Returns the memory that stays free even if all pending orders succeed.
 fn free_mb(policy: &EnginePolicy, entry: &EndpointEntry, book: &OrderBook) -> f64 {
     let size = |id: &ModelId| policy.model(id).map_or(0.0, |model| model.weights_mb);
     let held: f64 = book.possible(entry).iter().map(size).sum();
--- a/crates/clementinepond_dispatch/src/place/view.rs
+++ b/crates/clementinepond_dispatch/src/place/view.rs
@@ -11,7 +11,7 @@
     pub is_usable: bool,
     /// Whether a move is under way there.
     pub is_moving: bool,
-    /// Memory that no fate of an earlier order can fill, in megabytes.
+    /// Memory that stays free even if all pending orders succeed, in megabytes.
     pub free_mb: f64,
     /// Models that it serves: index into the models, and age of the copy.
     pub models: Vec<(usize, TimeSpan)>,
@@ -32,9 +32,9 @@
     pub weights_mb: f64,
     /// Engines that its demand keeps busy.
     pub work: f64,
-    /// Whether anybody asks for it.
+    /// Whether there is demand for it.
     pub is_wanted: bool,
-    /// Whether a model without a copy is expected to come back by itself.
+    /// Whether a model without a copy is expected to return without a load.
     pub is_awaited: bool,
     /// Load time from the weight store, from disk and from host memory.
     pub load_times: [TimeSpan; 3],
--- a/crates/clementinepond_dispatch/src/quota/account_bucket.rs
+++ b/crates/clementinepond_dispatch/src/quota/account_bucket.rs
@@ -27,7 +27,7 @@
         }
     }
 
-    /// Takes over a changed rate and burst; what was spent stays spent.
+    /// Applies a changed rate and burst; units already spent stay spent.
     pub fn set_quota(&mut self, rate_per_s: f64, burst: f64) {
         if self.rate_per_s == rate_per_s && self.burst == burst {
             return;
--- a/crates/clementinepond_dispatch/src/quota/quota_ledger.rs
+++ b/crates/clementinepond_dispatch/src/quota/quota_ledger.rs
@@ -75,7 +75,7 @@
 /// Even parts of the rate that a VM uses in that time.
 const BLIND_SHARES: f64 = 1.5;
 
-/// What this VM tells of one account.
+/// Figures of one account in this VM's news.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AccountFigures {
     /// Units admitted here since the process started.
@@ -125,8 +125,8 @@
         }
     }
 
-    /// Charges a request; `is_current` tells whether this VM knows what the
-    /// others admit as it happens.
+    /// Charges a request; `is_current` tells whether this VM's knowledge of
+    /// its peers' use is up to date.
     pub fn charge(
         &mut self,
         policy: &AccountPolicy,
@@ -153,8 +153,8 @@
             HEAVY_SHARE
         };
         let is_heavy = own + elsewhere > heavy_share * policy.rate_per_s;
-        // While demand is heavy and peers' use is known too late, each VM keeps to
-        // its part of the demand.
+        // Under heavy demand with stale knowledge of peers' use, each VM is limited
+        // to its part of the demand.
         let is_blind = self.is_large && now.since(account.first_asked_at) < BLIND_SPAN;
         let fraction = if is_current {
             1.0
@@ -208,7 +208,7 @@
         account.bucket.take_remote(units);
     }
 
-    /// Notes what is asked at the other VMs.
+    /// Sets the demand at the other VMs.
     pub fn set_asked_elsewhere(&mut self, asked: FnvHashMap<AccountId, f64>) {
         self.asked_elsewhere = asked;
     }
--- a/crates/clementinepond_dispatch/src/select/caller_patience.rs
+++ b/crates/clementinepond_dispatch/src/select/caller_patience.rs
@@ -6,12 +6,12 @@
 use crate::fleet::RoutePolicy;
 use clementinepond_types::TimeSpan;
 
-/// Silence that every caller of a stream bears; of the platform's interface, as
-/// are the two factors.
+/// Shortest silence after which a caller abandons a stream; the platform's
+/// interface defines it and the two factors below.
 const SILENCE_FLOOR: TimeSpan = TimeSpan::from_secs(2);
-/// Silence borne, in multiples of the time to the first token that is on time.
+/// Tolerated silence in multiples of the route's latency target.
 const TARGET_FACTOR: u64 = 4;
-/// Silence borne, in multiples of the longest pause that is on time.
+/// Tolerated silence in multiples of the route's pause target.
 const PAUSE_FACTOR: u64 = 8;
 
 /// Returns the silence after which callers abandon a stream.
--- a/crates/clementinepond_dispatch/src/select/engine_choice.rs
+++ b/crates/clementinepond_dispatch/src/select/engine_choice.rs
@@ -2,7 +2,7 @@
 //!
 //! Answers the load of long prompts: what makes callers wait is the prompt
 //! text queued before theirs, so candidates are compared by the text they
-//! still have to read, what they hold of this prompt, and their batch.
+//! still have to read, the part of this prompt in their cache, and their batch.
 //! A request that no engine can start in time is refused at once.
 
 use crate::fleet::{EndpointEntry, TokenDemand};
--- a/crates/clementinepond_dispatch/src/suspect/mod.rs
+++ b/crates/clementinepond_dispatch/src/suspect/mod.rs
@@ -11,7 +11,7 @@
 const CRASH_LIMIT: u32 = 2;
 /// Time for which a crash is held against a request.
 const CRASH_MEMORY: TimeSpan = TimeSpan::from_secs(120);
-/// Fingerprints remembered at most.
+/// Largest number of fingerprints kept.
 const FINGERPRINT_LIMIT: usize = 4_096;
 
 /// Crashes by fingerprint.
--- a/crates/clementinepond_entry/src/caller/connection.rs
+++ b/crates/clementinepond_entry/src/caller/connection.rs
@@ -15,7 +15,7 @@
 use tokio_util::task::TaskTracker;
 
 /// Time that a connection may stay idle beyond the configured bound, so that
-/// callers who keep to the bound never meet a close.
+/// callers within the bound never see their connection closed.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
 /// Pause after a failed accept, which means that descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/clementinepond_entry/src/caller/event_reader.rs
+++ b/crates/clementinepond_entry/src/caller/event_reader.rs
@@ -38,7 +38,7 @@
         self.pending.len() > EVENT_LIMIT_BYTES
     }
 
-    /// Returns what is left at the stream's end.
+    /// Returns the bytes left at the end of the stream.
     pub(super) fn rest(&mut self) -> Bytes {
         self.pending.split().freeze()
     }
--- a/crates/clementinepond_entry/src/caller/relay.rs
+++ b/crates/clementinepond_entry/src/caller/relay.rs
@@ -26,15 +26,15 @@
 const COPY_PATIENCE: TimeSpan = TimeSpan::from_millis(600);
 /// Shortest wait for a copy.
 const COPY_CHECK: TimeSpan = TimeSpan::from_millis(20);
-/// Endpoints tried without having been reached, at most.
+/// Largest number of endpoints tried that could not be reached.
 const UNREACHED_LIMIT: u32 = 4;
-/// Sends of one request to an endpoint that still loads its adapter, at most.
+/// Largest number of sends to an endpoint that is still loading the adapter.
 const ADAPTER_SENDS: u32 = 3;
 /// Pause before a request is sent again to an endpoint that loads its adapter.
 const ADAPTER_PAUSE: TimeSpan = TimeSpan::from_millis(12);
 /// Longest wait for an adapter.
 const ADAPTER_WAIT: TimeSpan = TimeSpan::from_millis(200);
-/// Endpoints at which an adapter is awaited, at most.
+/// Largest number of endpoints at which an adapter is awaited.
 const ADAPTER_WAITS: u32 = 3;
 /// Silence of an endpoint after which a request that may be repeated goes to
 /// another one, in multiples of the expected time.
--- a/crates/clementinepond_entry/src/caller/send_outcome.rs
+++ b/crates/clementinepond_entry/src/caller/send_outcome.rs
@@ -1,8 +1,8 @@
-//! What became of one send.
+//! Outcome of one send.
 
 use crate::endpoint::{AttemptAnswer, AttemptFailure};
 
-/// What became of one send.
+/// Outcome of one send.
 #[derive(Debug)]
 pub(super) enum SendOutcome {
     Answered(Box<AttemptAnswer>),
--- a/crates/clementinepond_entry/src/caller/stream.rs
+++ b/crates/clementinepond_entry/src/caller/stream.rs
@@ -149,7 +149,7 @@
             };
             note.note(&self.node, &self.request);
             if matches!(end, RelayEnd::Broken | RelayEnd::TimedOut) {
-                // The caller may have left; then there is nobody to tell.
+                // Sending fails when the caller has left, which needs no handling.
                 let _ = self.pieces.send(Err(BrokenAnswer)).await;
             }
             return;
--- a/crates/clementinepond_entry/src/duty/order_task.rs
+++ b/crates/clementinepond_entry/src/duty/order_task.rs
@@ -155,7 +155,7 @@
 }
 
 impl SentNews {
-    /// Tells all VMs what changed; from time to time, everything.
+    /// Broadcasts the changes; at longer intervals, the whole state.
     fn spread(&mut self, node: &EntryNode, fence: u64, is_urgent: bool, now: LocalTime) {
         if !is_urgent && now < self.next {
             return;
--- a/crates/clementinepond_entry/src/endpoint/attempt.rs
+++ b/crates/clementinepond_entry/src/endpoint/attempt.rs
@@ -39,7 +39,7 @@
     /// The request may have run.
     #[display("connection lost; the request may have run")]
     Broken,
-    /// The answer belongs to another request, or bears no signature.
+    /// The answer belongs to another request, or is not signed.
     #[display("answer of another request; the request may have run")]
     Foreign,
 }
--- a/crates/clementinepond_entry/src/log_sink/mod.rs
+++ b/crates/clementinepond_entry/src/log_sink/mod.rs
@@ -10,9 +10,9 @@
 use std::sync::Mutex;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-/// Bytes that wait for standard output at most.
+/// Largest number of bytes buffered for standard output.
 const BUFFER_LIMIT_BYTES: usize = 128 * 1024;
-/// Lines a second at most; a VM ends some tens of requests a second.
+/// Largest number of lines a second; a VM ends some tens of requests a second.
 const LINES_PER_SECOND: u32 = 400;
 /// Bytes that a pipe takes without blocking once it polls as writable.
 const PIPE_CHUNK_BYTES: usize = 4_096;
--- a/crates/clementinepond_entry/src/node/contact.rs
+++ b/crates/clementinepond_entry/src/node/contact.rs
@@ -226,7 +226,7 @@
             .map(|(vm, _)| vm.clone())
             .collect();
         for vm in silent {
-            // Its requests ended or it cannot be told apart from a stopped VM.
+            // Its requests have ended, or it cannot be distinguished from a stopped VM.
             state.loads.forget_peer(&vm);
         }
         let (heard, known) = state.peers.contact(now);
--- a/crates/clementinepond_entry/src/node/entry_node.rs
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -69,8 +69,8 @@
     /// Placement of each service while this VM holds the duty.
     pub(crate) planners: FnvHashMap<ServiceId, PlacementPlanner>,
     pub(crate) ejected_here: FnvHashMap<EndpointKey, LocalTime>,
-    /// Requests sent that peers have not been told of.
-    pub(crate) untold: RunOutbox,
+    /// Requests sent and not announced yet.
+    pub(crate) unannounced: RunOutbox,
 }
 
 /// One entry VM.
@@ -119,7 +119,7 @@
             lease: None,
             planners: FnvHashMap::default(),
             ejected_here: FnvHashMap::default(),
-            untold: RunOutbox::default(),
+            unannounced: RunOutbox::default(),
         };
         Self {
             settings: RefCell::new(Rc::new(settings)),
--- a/crates/clementinepond_entry/src/node/fleet_state.rs
+++ b/crates/clementinepond_entry/src/node/fleet_state.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 use std::rc::Rc;
 
-/// Changes of entries in one datagram at most.
+/// Largest number of entry changes in one datagram.
 const ENTRIES_A_DATAGRAM: usize = 24;
 /// Age of the store's last answer up to which the VM counts as in contact.
 const CONTACT_AGE: TimeSpan = TimeSpan::from_millis(4_200);
@@ -78,7 +78,7 @@
         self.duty_due.notify_one();
     }
 
-    /// Tells the VMs of this data centre of changes, if that is this VM's task.
+    /// Forwards changes to the VMs of this data centre if this VM is a watcher.
     fn spread_entries(&self, objects: &[StoreObject]) {
         let now = BootClock::now();
         let settings = self.settings();
@@ -140,7 +140,7 @@
         for (name, known) in gone {
             let object = StoreObject {
                 name,
-                // The deletion's own revision is not told; it follows the last change.
+                // A snapshot lacks the deletion's revision; it is above that of the last change.
                 revision: known + 1,
                 is_deleted: true,
                 spec: Value::Null,
@@ -154,7 +154,7 @@
         self.duty_due.notify_one();
     }
 
-    /// Takes over changes that a watching VM tells of.
+    /// Applies changes forwarded by a watcher.
     pub(crate) fn take_entry_news(&self, news: EntryNews) {
         let now = BootClock::now();
         let known = self.state.borrow().endpoint_revision;
--- a/crates/clementinepond_entry/src/node/pick.rs
+++ b/crates/clementinepond_entry/src/node/pick.rs
@@ -38,7 +38,7 @@
     NoEndpoint,
     /// No endpoint holds the model.
     NoCopy,
-    /// No endpoint holds the adapter, and nobody can have it loaded.
+    /// No endpoint holds the adapter, and there is no holder of the placement duty.
     NoAdapter,
     /// No endpoint can start it in time.
     Crowded(TimeSpan),
@@ -198,7 +198,7 @@
                 }
             })
             .collect();
-        // Nobody can load an adapter: only engines that hold it are of use.
+        // Without a holder no adapter gets loaded: only engines that have it qualify.
         let ready: Vec<EngineCandidate<'_>> = candidates
             .iter()
             .filter(|one| one.adapter == AdapterReadiness::Ready)
@@ -307,7 +307,7 @@
         })
     }
 
-    /// Counts a run at an engine and tells the peers of it.
+    /// Counts a run at an engine and announces it to the peers.
     fn start_engine_run(self: &Rc<Self>, run: SentRun, capacity: u64, now: LocalTime) -> RunGuard {
         let key = EndpointKey::of(run.endpoint.as_str());
         let share = LoadShare {
@@ -321,7 +321,7 @@
             .parts
             .note_read(key, run.weights, &run.parts, capacity, now);
         drop(state);
-        self.tell_run(run, now);
+        self.announce_run(run, now);
         guard
     }
 
--- a/crates/clementinepond_entry/src/node/placement.rs
+++ b/crates/clementinepond_entry/src/node/placement.rs
@@ -1,4 +1,4 @@
-//! What the holder of the placement duty told this VM, and what it is asked.
+//! Placement news from the holder of the duty, and requests to it.
 
 use super::EntryNode;
 use super::entry_node::NodeState;
@@ -13,7 +13,7 @@
 /// Age of the holder's news up to which a copy counts as closing.
 const CLOSING_AGE: TimeSpan = TimeSpan::from_secs(3);
 
-/// Time for which an endpoint's word that it lacks a model counts; its entry
+/// Time for which an endpoint's answer that it lacks a model counts; its entry
 /// follows within a heartbeat.
 const ABSENCE_SPAN: TimeSpan = TimeSpan::from_millis(1_000);
 /// Silence after which the holder's news of placement no longer show that it
@@ -21,8 +21,8 @@
 const HOLDER_SILENCE: TimeSpan = TimeSpan::from_millis(1_100);
 /// Time between two words to the holder about an adapter in use.
 const USE_NEWS: TimeSpan = TimeSpan::from_millis(1_000);
-/// Time after which an unanswered wish for an adapter is sent again.
-const WISH_REPEAT: TimeSpan = TimeSpan::from_millis(60);
+/// Time after which an unanswered adapter request is sent again.
+const ADAPTER_REQUEST_REPEAT: TimeSpan = TimeSpan::from_millis(60);
 
 /// Adapters and closing copies, as the holder sees them.
 #[derive(Debug, Default)]
@@ -41,7 +41,7 @@
     loading: FnvHashMap<EndpointKey, LocalTime>,
     /// Models that an endpoint said it does not hold, and until when that counts.
     absent: FnvHashMap<(EndpointKey, EndpointKey), LocalTime>,
-    /// Moment of the last word to the holder about each adapter in use.
+    /// Moment at which the holder was last notified of each adapter in use.
     pub(crate) told: FnvHashMap<AdapterPlace, LocalTime>,
 }
 
@@ -182,7 +182,7 @@
         self.placement_changed.notify_waiters();
     }
 
-    /// Takes a VM's wish for an adapter, if this VM holds the duty.
+    /// Handles a VM's request for an adapter if this VM holds the duty.
     pub(crate) fn take_adapter_wanted(
         &self,
         from: &VmId,
@@ -242,13 +242,13 @@
             if BootClock::now() >= until {
                 return false;
             }
-            self.tell_holder(endpoint, target);
-            // A wish, or its answer, may be lost.
-            let _ = tokio::time::timeout(WISH_REPEAT.duration(), changed).await;
+            self.notify_holder(endpoint, target);
+            // The request or its answer may be lost.
+            let _ = tokio::time::timeout(ADAPTER_REQUEST_REPEAT.duration(), changed).await;
         }
     }
 
-    /// Tells the holder that an adapter is in use, so that it stays.
+    /// Notifies the holder that an adapter is in use, so that it is not evicted.
     pub(crate) fn note_adapter_use(&self, endpoint: &EndpointId, target: &ModelTarget) {
         let Some(place) = self.adapter_place(endpoint, Some(target)) else {
             return;
@@ -264,11 +264,11 @@
             is_due
         };
         if is_due {
-            self.tell_holder(endpoint, target);
+            self.notify_holder(endpoint, target);
         }
     }
 
-    fn tell_holder(&self, endpoint: &EndpointId, target: &ModelTarget) {
+    fn notify_holder(&self, endpoint: &EndpointId, target: &ModelTarget) {
         let Some(adapter) = &target.adapter else {
             return;
         };
--- a/crates/clementinepond_entry/src/node/run_news.rs
+++ b/crates/clementinepond_entry/src/node/run_news.rs
@@ -12,7 +12,7 @@
 /// several requests share one. Costs the smallest VMs a fiftieth of their processor.
 const DATAGRAMS_PER_S: f64 = 800.0;
 
-/// Requests that peers are yet to be told of.
+/// Requests not announced yet.
 #[derive(Debug, Default)]
 pub(crate) struct RunOutbox {
     runs: Vec<SentRun>,
@@ -22,7 +22,7 @@
 }
 
 impl RunOutbox {
-    /// Returns what is to be told now to that many peers.
+    /// Returns the requests to announce now, charging the budget for `peers` datagrams.
     fn due(&mut self, peers: usize, now: LocalTime) -> Vec<SentRun> {
         let seconds = now.since(self.credited_at).micros() as f64 / 1e6;
         self.credited_at = now;
@@ -36,19 +36,19 @@
 }
 
 impl EntryNode {
-    /// Tells all peers of a request that is being sent.
-    pub(super) fn tell_run(&self, run: SentRun, now: LocalTime) {
-        self.state.borrow_mut().untold.runs.push(run);
+    /// Announces a request that is being sent.
+    pub(super) fn announce_run(&self, run: SentRun, now: LocalTime) {
+        self.state.borrow_mut().unannounced.runs.push(run);
         self.flush_runs(now);
     }
 
-    /// Tells all peers of the requests that waited, if any.
+    /// Announces the requests that exceeded the budget before, if any.
     pub(crate) fn flush_runs(&self, now: LocalTime) {
         let due = {
             let mut guard = self.state.borrow_mut();
             let state = &mut *guard;
             let peers = state.peers.all().count();
-            state.untold.due(peers, now)
+            state.unannounced.due(peers, now)
         };
         if !due.is_empty() {
             self.broadcast(PeerMessage::Runs(RunNews {
@@ -67,7 +67,7 @@
         let state = &mut *guard;
         state.peers.note_heard(from, news.incarnation, now);
         for run in news.runs {
-            // A process that is not known yet tells its use in its first news.
+            // Use of a process that is not known yet arrives with its first news.
             if let Some((account, admitted)) = &run.account
                 && let Some(policy) = table.account(account)
                 && let Some(units) =
--- a/crates/clementinepond_entry/src/peer/snapshot.rs
+++ b/crates/clementinepond_entry/src/peer/snapshot.rs
@@ -161,7 +161,7 @@
     }
 }
 
-/// Reads the configuration from the store, which bears it better than a peer.
+/// Reads the configuration from the store, which has more bandwidth than a peer.
 async fn read_configuration(node: &EntryNode, client: &mut StoreClient) {
     increment(&node.stats.store_calls);
     match client.read(CONFIGURATION_KIND, CONFIGURATION_NAME).await {
--- a/crates/clementinepond_entry/src/run.rs
+++ b/crates/clementinepond_entry/src/run.rs
@@ -41,7 +41,7 @@
     System(std::io::Error),
 }
 
-/// Runs an entry VM until it is told to stop.
+/// Runs an entry VM until a signal stops it.
 ///
 /// # Errors
 ///
@@ -162,7 +162,7 @@
     }
 }
 
-/// Stops in the order in which nobody loses anything.
+/// Stops in stages, so that no request is cut.
 async fn stop(
     node: &Rc<EntryNode>,
     duties: CancellationToken,
--- a/crates/clementinepond_entry/src/store/client.rs
+++ b/crates/clementinepond_entry/src/store/client.rs
@@ -31,7 +31,7 @@
     Malformed,
 }
 
-/// What became of an update.
+/// Outcome of an update.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum WriteOutcome {
     /// It took effect.
--- a/crates/clementinepond_entry/src/store/watch.rs
+++ b/crates/clementinepond_entry/src/store/watch.rs
@@ -14,7 +14,7 @@
 
 /// Time that a watch waits; a store that went silent is noticed after it.
 const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(3_000);
-/// Time between two looks at whether this VM is to watch.
+/// Time between two checks of this VM's role.
 const ROLE_CHECK: TimeSpan = TimeSpan::from_millis(250);
 /// Time for which changes collect before the next call fetches them.
 const BATCH_PAUSE: TimeSpan = TimeSpan::from_millis(120);
@@ -24,7 +24,7 @@
 /// after the store's return, so it must be noticed well before.
 const LONGEST_PAUSE_MS: u64 = 700;
 
-/// What is watched.
+/// Kind of object that is watched.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum WatchTarget {
     /// The operator's configuration.
--- a/crates/clementinepond_soak/src/callers.rs
+++ b/crates/clementinepond_soak/src/callers.rs
@@ -45,7 +45,7 @@
     (call, model.is_some())
 }
 
-/// Calls until told to stop.
+/// Calls until cancelled.
 pub(crate) async fn run_caller(
     seed: u64,
     number: u64,
--- a/crates/clementinepond_soak/src/fault.rs
+++ b/crates/clementinepond_soak/src/fault.rs
@@ -26,7 +26,7 @@
     EndpointLink(usize, LinkFault),
     /// A VM is killed and started again.
     Kill(usize),
-    /// A VM is told to stop and started again.
+    /// A VM gets SIGTERM and is started again.
     Terminate(usize),
     /// A VM stands still.
     Pause(usize),
--- a/crates/clementinepond_soak/src/process.rs
+++ b/crates/clementinepond_soak/src/process.rs
@@ -101,7 +101,7 @@
             .as_ref()
             .and_then(|child| Pid::from_raw(child.id().cast_signed()));
         if let Some(pid) = pid {
-            // The process may have ended by itself, which the checks notice.
+            // The process may have exited, which the checks notice.
             let _ = kill_process(pid, signal);
         }
     }
--- a/crates/clementinepond_soak/src/run.rs
+++ b/crates/clementinepond_soak/src/run.rs
@@ -115,7 +115,7 @@
             world.end(planned.fault)?;
         }
     }
-    // A VM told to stop takes its grace; then it is started again.
+    // A VM that got SIGTERM uses its grace; then it is started again.
     tokio::time::sleep(Duration::from_millis(4_500)).await;
     world.revive()
 }
