--- a/crates/clementinepond_dispatch/tests/placement.rs
+++ b/crates/clementinepond_dispatch/tests/placement.rs
@@ -113,3 +113,23 @@
     view.engines[1].on_disk.push(0);
     assert!(choose_move(&view).is_some());
 }
+
+#[test]
+fn a_lost_model_comes_before_a_crowded_one_that_would_fit_too() {
+    let models = vec![model("m0", 5.0), model("m1", 0.0)];
+    let engines = vec![engine("e1", &[0], 0.0), engine("e2", &[], 80_000.0)];
+    let chosen = choose_move(&view(engines, models)).unwrap();
+    assert_eq!((chosen.engine, chosen.load), (1, 1));
+}
+
+#[test]
+fn the_last_copy_makes_way_for_nothing() {
+    // Neither for a lost model nor for one with far more demand.
+    let engines = vec![engine("e1", &[0], 0.0)];
+    let lost = vec![model("m0", 0.5), model("m1", 9.0)];
+    assert_eq!(choose_move(&view(engines.clone(), lost)), None);
+    let mut both = engines;
+    both.push(engine("e2", &[1], 0.0));
+    let crowded = vec![model("m0", 0.01), model("m1", 9.0)];
+    assert_eq!(choose_move(&view(both, crowded)), None);
+}
