--- a/crates/clementinepond/src/command/entry_log_event.rs
+++ b/crates/clementinepond/src/command/entry_log_event.rs
@@ -41,8 +41,8 @@
     ),
     event(
         "configuration_applied",
-        "version previous source routes accounts",
-        "a newer configuration was applied",
+        "version previous source behind_ms routes accounts",
+        "a newer configuration was applied; `behind_ms` is the time since a peer was known to have a newer one",
     ),
     event(
         "configuration_refused",
@@ -184,6 +184,11 @@
         "peer",
         "another VM was out of contact for too long and was removed from the known peers",
     ),
+    event(
+        "peer_traffic",
+        "heartbeat runs entries placement other snapshot dropped",
+        "bytes sent to peers by type of message since the last such line, and datagrams dropped since the start",
+    ),
     event(
         "probe_ended",
         "error",
@@ -291,4 +296,14 @@
         "kind action",
         "the store no longer has the requested history; all objects are listed again",
     ),
+    event(
+        "watch_started",
+        "kind",
+        "this VM watches objects of this kind in the store",
+    ),
+    event(
+        "watch_stopped",
+        "kind",
+        "this VM leaves watching to other VMs of its data centre",
+    ),
 ];
--- a/crates/clementinepond_entry/src/caller/readiness.rs
+++ b/crates/clementinepond_entry/src/caller/readiness.rs
@@ -4,7 +4,9 @@
 use crate::clock::BootClock;
 use crate::http::tune_socket;
 use crate::node::{EntryNode, LATENCY_BOUNDS_MS};
+use crate::peer::TrafficKind;
 use clementinepond_platform::READINESS_PATH;
+use clementinepond_types::TimeSpan;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -78,6 +80,26 @@
     }
 }
 
+/// Appends the bytes sent to peers, by type of message.
+fn write_traffic(node: &EntryNode, text: &mut String) {
+    let Some(socket) = node.socket.get() else {
+        return;
+    };
+    let name = "clementinepond_peer_bytes_sent_total";
+    // Writing to a string cannot fail.
+    let _ = writeln!(text, "# TYPE {name} counter");
+    for kind in TrafficKind::ALL {
+        let bytes = socket.traffic.bytes(kind);
+        let _ = writeln!(text, "{name}{{message=\"{}\"}} {bytes}", kind.name());
+    }
+    let name = "clementinepond_peer_datagrams_dropped_total";
+    let _ = writeln!(
+        text,
+        "# TYPE {name} counter\n{name} {}",
+        socket.traffic.dropped.get()
+    );
+}
+
 /// Returns the metrics in the Prometheus text format.
 fn metrics_text(node: &EntryNode) -> String {
     let stats = &node.stats;
@@ -120,11 +142,20 @@
         .lease
         .as_ref()
         .is_some_and(|lease| lease.fence(now).is_some());
-    let version = state
-        .table
-        .as_ref()
-        .map_or(0, |table| table.policy().version);
-    let _ = writeln!(text, "clementinepond_configuration_version {version}");
+    let _ = writeln!(
+        text,
+        "clementinepond_configuration_version {}",
+        state.configuration_version()
+    );
+    let behind = state
+        .newer_configuration_since
+        .map_or(TimeSpan::ZERO, |since| now.since(since));
+    let _ = writeln!(
+        text,
+        "clementinepond_configuration_behind_ms {}",
+        behind.millis()
+    );
+    write_traffic(node, &mut text);
     let _ = writeln!(
         text,
         "clementinepond_endpoints {}",
--- a/crates/clementinepond_entry/src/caller/serve_request.rs
+++ b/crates/clementinepond_entry/src/caller/serve_request.rs
@@ -161,7 +161,7 @@
         _ => &node.stats.refused,
     };
     increment(counter);
-    let version = node.table().map_or(0, |table| table.policy().version);
+    let version = node.state.borrow().configuration_version();
     log::info!(
         "event=request_ended request={} outcome=own_answer model={} status={} reason={} configuration={version} duration_ms={}",
         id.map_or("-", RequestId::as_str),
--- a/crates/clementinepond_entry/src/node/entry_node.rs
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -38,6 +38,8 @@
     pub(crate) table: Option<Rc<RouteTable>>,
     /// Current configuration as stored, for snapshots to peers.
     pub(crate) configuration_spec: Option<Rc<Value>>,
+    /// Time since which a peer is known to have a newer configuration.
+    pub(crate) newer_configuration_since: Option<LocalTime>,
     /// Store revision up to which the configuration is known.
     pub(crate) configuration_revision: u64,
     pub(crate) directory: EndpointDirectory,
@@ -75,6 +77,15 @@
     pub(crate) unannounced: RunOutbox,
 }
 
+impl NodeState {
+    /// Returns the version of the configuration in use; 0 if there is none.
+    pub(crate) fn configuration_version(&self) -> u64 {
+        self.table
+            .as_ref()
+            .map_or(0, |table| table.policy().version)
+    }
+}
+
 /// Entry VM: its settings, its state and the notifications between its tasks.
 #[derive(Debug)]
 pub(crate) struct EntryNode {
@@ -100,6 +111,7 @@
         let state = NodeState {
             table: None,
             configuration_spec: None,
+            newer_configuration_since: None,
             configuration_revision: 0,
             directory: EndpointDirectory::default(),
             endpoint_specs: BTreeMap::new(),
--- a/crates/clementinepond_entry/src/node/fleet_state.rs
+++ b/crates/clementinepond_entry/src/node/fleet_state.rs
@@ -38,15 +38,15 @@
         };
         let version = policy.version;
         let mut state = self.state.borrow_mut();
-        let current = state
-            .table
-            .as_ref()
-            .map_or(0, |table| table.policy().version);
+        let current = state.configuration_version();
         if state.table.is_some() && version <= current {
             return;
         }
+        let newer_since = state.newer_configuration_since.take();
+        let behind = newer_since.map_or(TimeSpan::ZERO, |since| BootClock::now().since(since));
         log::info!(
-            "event=configuration_applied version={version} previous={current} source={source} routes={} accounts={}",
+            "event=configuration_applied version={version} previous={current} source={source} behind_ms={} routes={} accounts={}",
+            behind.millis(),
             policy.routes.len(),
             policy.accounts.len()
         );
--- a/crates/clementinepond_entry/src/node/peers.rs
+++ b/crates/clementinepond_entry/src/node/peers.rs
@@ -47,6 +47,7 @@
         let state = &mut *guard;
         let loads = heartbeat.loads.clone();
         let ejected = heartbeat.ejected.clone();
+        let configuration = heartbeat.configuration;
         let expired_order_age = heartbeat.expired_order_age_ms;
         let Some(usages) = state.peers.record_heartbeat(from, address, heartbeat, now) else {
             return;
@@ -83,6 +84,9 @@
                 state.health.eject(&id, now);
             }
         }
+        if configuration > state.configuration_version() {
+            state.newer_configuration_since.get_or_insert(now);
+        }
         drop(guard);
         self.heartbeat_received.notify_waiters();
     }
@@ -107,10 +111,7 @@
             incarnation: self.incarnation,
             number,
             data_centre: self.settings().data_centre.clone(),
-            configuration: state
-                .table
-                .as_ref()
-                .map_or(0, |table| table.policy().version),
+            configuration: state.configuration_version(),
             directory: state.endpoint_revision,
             link_mbps: self.settings().capacity.link(),
             has_store: state.failing_kinds == 0,
@@ -128,10 +129,7 @@
     /// Returns whether a live peer has a newer revision of the target than this VM.
     pub(crate) fn is_peer_ahead(&self, target: WatchTarget) -> bool {
         let state = self.state.borrow();
-        let version = state
-            .table
-            .as_ref()
-            .map_or(0, |table| table.policy().version);
+        let version = state.configuration_version();
         let revision = state.endpoint_revision;
         state
             .peers
@@ -147,10 +145,7 @@
     /// this VM, if there is one.
     pub(crate) fn newer_peer(&self, now: LocalTime) -> Option<SocketAddrV4> {
         let state = self.state.borrow();
-        let version = state
-            .table
-            .as_ref()
-            .map_or(0, |table| table.policy().version);
+        let version = state.configuration_version();
         let revision = state.endpoint_revision;
         let own_data_centre = self.settings().data_centre.clone();
         let ahead: Vec<_> = state
@@ -194,8 +189,8 @@
         let Some(socket) = self.socket.get() else {
             return;
         };
-        if let Some(bytes) = socket.encode(message) {
-            socket.send(&bytes, address);
+        if let Some(datagram) = socket.encode(message) {
+            socket.send(&datagram, address);
         }
     }
 
@@ -205,7 +200,7 @@
         let Some(socket) = self.socket.get() else {
             return;
         };
-        let Some(bytes) = socket.encode(message) else {
+        let Some(datagram) = socket.encode(message) else {
             return;
         };
         let state = self.state.borrow();
@@ -213,7 +208,7 @@
             |heartbeat: &PeerHeartbeat| heartbeat.data_centre == own_data_centre;
         for (_, peer) in state.peers.all() {
             if peer.heartbeat.as_deref().is_some_and(is_same_data_centre) {
-                socket.send(&bytes, peer.address);
+                socket.send(&datagram, peer.address);
             }
         }
     }
@@ -223,12 +218,12 @@
         let Some(socket) = self.socket.get() else {
             return;
         };
-        let Some(bytes) = socket.encode(message) else {
+        let Some(datagram) = socket.encode(message) else {
             return;
         };
         let state = self.state.borrow();
         for (_, peer) in state.peers.all() {
-            socket.send(&bytes, peer.address);
+            socket.send(&datagram, peer.address);
         }
     }
 
--- a/crates/clementinepond_entry/src/peer/snapshot.rs
+++ b/crates/clementinepond_entry/src/peer/snapshot.rs
@@ -3,6 +3,7 @@
 //! A VM that does not watch the store, cannot reach it, or starts while it is unavailable
 //! fetches both from a peer with newer revisions.
 
+use super::traffic::TrafficKind;
 use crate::clock::BootClock;
 use crate::http::{HttpClient, tune_socket};
 use crate::node::{EntryNode, increment};
@@ -89,7 +90,12 @@
 fn answer(node: &EntryNode, path: &str, query: &str) -> Response<Full<Bytes>> {
     let (status, body) = if path == SNAPSHOT_PATH {
         match serde_json::to_vec(&snapshot(node, query)) {
-            Ok(body) => (StatusCode::OK, body),
+            Ok(body) => {
+                if let Some(socket) = node.socket.get() {
+                    socket.traffic.record(TrafficKind::Snapshot, body.len());
+                }
+                (StatusCode::OK, body)
+            }
             Err(error) => {
                 log::error!("event=snapshot_unwritable error=\"{error}\"");
                 (StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
@@ -126,10 +132,7 @@
         .peers
         .all()
         .map(|(vm, peer)| (vm.clone(), peer.address));
-    let is_newer = state
-        .table
-        .as_ref()
-        .is_some_and(|table| table.policy().version > version);
+    let is_newer = state.configuration_version() > version;
     FleetSnapshot {
         names: state.endpoint_specs.keys().cloned().collect(),
         configuration: is_newer
@@ -179,10 +182,7 @@
 async fn fetch(node: &EntryNode, address: SocketAddrV4) -> Option<FleetSnapshot> {
     let path = {
         let state = node.state.borrow();
-        let version = state
-            .table
-            .as_ref()
-            .map_or(0, |table| table.policy().version);
+        let version = state.configuration_version();
         let since = state.endpoint_revision;
         format!("{SNAPSHOT_PATH}?since={since}&configuration={version}")
     };
--- a/crates/clementinepond_entry/src/peer/socket.rs
+++ b/crates/clementinepond_entry/src/peer/socket.rs
@@ -1,7 +1,8 @@
 //! Datagrams exchanged with peers.
 
+use super::traffic::{PeerTraffic, TrafficKind};
 use crate::clock::BootClock;
-use crate::node::EntryNode;
+use crate::node::{EntryNode, increment};
 use clementinepond_dispatch::peer::{PeerEnvelope, PeerMessage, SMALL_FLEET_MAX_VMS};
 use clementinepond_types::{LocalTime, TimeSpan, VmId};
 use std::net::{SocketAddr, SocketAddrV4};
@@ -11,27 +12,42 @@
 
 /// Maximum size of a datagram.
 const DATAGRAM_LIMIT_BYTES: usize = 60_000;
+/// Interval between log lines on the bytes sent to peers.
+const TRAFFIC_REPORT_INTERVAL: TimeSpan = TimeSpan::from_secs(5);
+
+/// Encoded message to peers.
+#[derive(Debug)]
+pub(crate) struct PeerDatagram {
+    bytes: Vec<u8>,
+    kind: TrafficKind,
+}
 
 /// UDP socket for messages to peers.
 #[derive(Debug)]
 pub(crate) struct PeerSocket {
     socket: UdpSocket,
     me: VmId,
+    pub(crate) traffic: PeerTraffic,
 }
 
 impl PeerSocket {
-    pub(crate) const fn new(socket: UdpSocket, me: VmId) -> Self {
-        Self { socket, me }
+    pub(crate) fn new(socket: UdpSocket, me: VmId) -> Self {
+        Self {
+            socket,
+            me,
+            traffic: PeerTraffic::default(),
+        }
     }
 
     /// Encodes a message as a datagram; `None` with a log line if that fails.
-    pub(crate) fn encode(&self, message: PeerMessage) -> Option<Vec<u8>> {
+    pub(crate) fn encode(&self, message: PeerMessage) -> Option<PeerDatagram> {
+        let kind = TrafficKind::of(&message);
         let envelope = PeerEnvelope {
             from: self.me.clone(),
             message,
         };
         match postcard::to_allocvec(&envelope) {
-            Ok(bytes) if bytes.len() <= DATAGRAM_LIMIT_BYTES => Some(bytes),
+            Ok(bytes) if bytes.len() <= DATAGRAM_LIMIT_BYTES => Some(PeerDatagram { bytes, kind }),
             Ok(bytes) => {
                 log::error!("event=message_too_large bytes={}", bytes.len());
                 None
@@ -45,9 +61,13 @@
 
     /// Sends a datagram without retrying if it gets lost; heartbeats and placement updates
     /// are sent again at the next interval anyway.
-    pub(crate) fn send(&self, bytes: &[u8], to: SocketAddrV4) {
-        if let Err(error) = self.socket.try_send_to(bytes, to.into()) {
-            log::debug!("event=message_dropped to={to} error=\"{error}\"");
+    pub(crate) fn send(&self, datagram: &PeerDatagram, to: SocketAddrV4) {
+        match self.socket.try_send_to(&datagram.bytes, to.into()) {
+            Ok(length) => self.traffic.record(datagram.kind, length),
+            Err(error) => {
+                increment(&self.traffic.dropped);
+                log::debug!("event=message_dropped to={to} error=\"{error}\"");
+            }
         }
     }
 }
@@ -121,6 +141,8 @@
     stop: CancellationToken,
 ) {
     let mut number = 0;
+    let mut reported = Default::default();
+    let mut report_at = BootClock::now() + TRAFFIC_REPORT_INTERVAL;
     loop {
         let peers: Vec<SocketAddrV4> = {
             let state = node.state.borrow();
@@ -141,10 +163,14 @@
         node.flush_runs(now);
         number += 1;
         let heartbeat = node.own_heartbeat(number, now);
-        if let Some(bytes) = socket.encode(PeerMessage::Heartbeat(Box::new(heartbeat))) {
+        if let Some(datagram) = socket.encode(PeerMessage::Heartbeat(Box::new(heartbeat))) {
             for peer in peers {
-                socket.send(&bytes, peer);
+                socket.send(&datagram, peer);
             }
         }
+        if now >= report_at {
+            report_at = now + TRAFFIC_REPORT_INTERVAL;
+            socket.traffic.log_since(&mut reported);
+        }
     }
 }
--- a/crates/clementinepond_entry/src/store/watch.rs
+++ b/crates/clementinepond_entry/src/store/watch.rs
@@ -50,6 +50,7 @@
     let mut retry_delay_ms = MIN_RETRY_DELAY_MS;
     let mut failing_since = None;
     let mut listed_at = None;
+    let mut is_watching = false;
     while !stop.is_cancelled() {
         let now = BootClock::now();
         if let (Some(_), Some(since)) = (revision, listed_at)
@@ -59,12 +60,18 @@
             if failing_since.take().is_some() {
                 node.record_store_state(true, target.kind());
             }
+            if std::mem::take(&mut is_watching) {
+                log::info!("event=watch_stopped kind={}", target.kind());
+            }
             client.reset();
             tokio::select! {
                 () = stop.cancelled() => return,
                 () = tokio::time::sleep(ROLE_CHECK_INTERVAL.duration()) => continue,
             }
         }
+        if revision.is_some() && !std::mem::replace(&mut is_watching, true) {
+            log::info!("event=watch_started kind={}", target.kind());
+        }
         increment(&node.stats.store_calls);
         let called = async {
             match revision {
