--- a/crates/clementinepond/tests/entry/main.rs
+++ b/crates/clementinepond/tests/entry/main.rs
@@ -13,3 +13,4 @@
 mod refusals;
 mod request_path;
 mod support;
+mod watchers;
--- a/crates/clementinepond/tests/entry/support.rs
+++ b/crates/clementinepond/tests/entry/support.rs
@@ -26,6 +26,7 @@
     child: Child,
     pub(crate) callers: SocketAddrV4,
     pub(crate) readiness: SocketAddrV4,
+    metrics: SocketAddrV4,
     lines: Arc<Mutex<Vec<String>>>,
     settings: PathBuf,
 }
@@ -77,6 +78,7 @@
             child,
             callers: address(&first, "callers="),
             readiness: address(&first, "readiness="),
+            metrics: address(&first, "metrics="),
             lines,
             settings,
         }
@@ -96,6 +98,25 @@
             .any(|line| line.contains(text))
     }
 
+    /// Returns the last logged line that contains both texts.
+    pub(crate) fn last_logged(&self, first: &str, second: &str) -> Option<String> {
+        let lines = self.lines.lock().unwrap();
+        lines
+            .iter()
+            .rfind(|line| line.contains(first) && line.contains(second))
+            .cloned()
+    }
+
+    /// Returns the value of a metric.
+    pub(crate) async fn metric(&self, name: &str) -> u64 {
+        let (_, text) = expect_answer(send_call(self.metrics, call_to("/metrics", None)).await);
+        let line = text.lines().find_map(|line| line.strip_prefix(name));
+        line.unwrap_or_else(|| panic!("no metric {name}"))
+            .trim()
+            .parse()
+            .unwrap()
+    }
+
     pub(crate) async fn ended(&mut self) {
         wait_until("the VM exits", || self.child.try_wait().unwrap().is_some()).await;
     }
