--- a/crates/clementinepond_entry/src/node/fleet_state.rs
+++ b/crates/clementinepond_entry/src/node/fleet_state.rs
@@ -2,6 +2,7 @@
 
 use super::EntryNode;
 use crate::clock::BootClock;
+use crate::store::WatchTarget;
 use clementinepond_dispatch::directory::EndpointChange;
 use clementinepond_dispatch::load::NameHash;
 use clementinepond_dispatch::peer::{EntryChange, EntryUpdate, PeerMessage, SMALL_FLEET_MAX_VMS};
@@ -27,8 +28,10 @@
 const ROLE_DELAY: TimeSpan = TimeSpan::from_millis(400);
 
 impl EntryNode {
-    /// Applies a configuration if it is newer than the current one.
-    pub(crate) fn apply_configuration(&self, spec: &Value, source: &str) {
+    /// Applies a configuration if it is newer than the current one; `revision` is a store
+    /// revision at which it is the stored one.
+    pub(crate) fn apply_configuration(&self, spec: &Value, revision: u64, source: &str) {
+        self.record_configuration_revision(revision);
         let policy = match read_configuration(spec) {
             Ok(policy) => policy,
             Err(error) => {
@@ -56,6 +59,15 @@
         self.placement_changed.notify_waiters();
     }
 
+    /// Returns the store revision up to which all changes of a kind are known.
+    pub(crate) fn known_revision(&self, target: WatchTarget) -> u64 {
+        let state = self.state.borrow();
+        match target {
+            WatchTarget::Configuration => state.configuration_revision,
+            WatchTarget::Endpoints => state.endpoint_revision,
+        }
+    }
+
     /// Records the store revision up to which the configuration is known.
     pub(crate) fn record_configuration_revision(&self, revision: u64) {
         let mut state = self.state.borrow_mut();
@@ -80,8 +92,8 @@
         self.orders_due.notify_one();
     }
 
-    /// Forwards changes to the VMs of this data centre if the fleet is large and this VM
-    /// is a watcher.
+    /// Forwards the changes that are new to this VM to the VMs of its data centre, if the
+    /// fleet is large and this VM is a watcher.
     fn forward_entries(&self, objects: &[StoreObject]) {
         let now = BootClock::now();
         let settings = self.settings();
@@ -100,7 +112,11 @@
             state.endpoint_revision
         };
         let mut after = after;
-        for batch in objects.chunks(MAX_ENTRIES_PER_DATAGRAM) {
+        let new: Vec<&StoreObject> = objects
+            .iter()
+            .filter(|object| object.revision > after)
+            .collect();
+        for batch in new.chunks(MAX_ENTRIES_PER_DATAGRAM) {
             let changes = batch.iter().map(|object| EntryChange {
                 name: object.name.clone(),
                 revision: object.revision,
--- a/crates/clementinepond_entry/src/peer/snapshot.rs
+++ b/crates/clementinepond_entry/src/peer/snapshot.rs
@@ -47,6 +47,9 @@
 struct FleetSnapshot {
     /// Current configuration as stored, if it is newer than the requester's.
     configuration: Option<Value>,
+    /// Store revision up to which that configuration is the newest.
+    #[serde(default)]
+    configuration_revision: u64,
     /// Revision of the newest change of an endpoint's entry.
     revision: u64,
     /// Entries that changed after the requester's revision.
@@ -138,6 +141,7 @@
         configuration: is_newer
             .then(|| state.configuration_spec.as_deref().cloned())
             .flatten(),
+        configuration_revision: state.configuration_revision,
         revision: state.endpoint_revision,
         endpoints: endpoints.collect(),
         vms: vms.collect(),
@@ -173,7 +177,9 @@
 async fn read_configuration(node: &EntryNode, client: &mut StoreClient) {
     increment(&node.stats.store_calls);
     match client.read(CONFIGURATION_KIND, CONFIGURATION_NAME).await {
-        Ok(Some(object)) => node.apply_configuration(&object.spec, "store"),
+        Ok(Some(object)) => {
+            node.apply_configuration(&object.spec, object.revision, "store");
+        }
         Ok(None) => {}
         Err(error) => log::info!("event=configuration_unread error=\"{error}\""),
     }
@@ -216,7 +222,7 @@
         node.learn_peer(vm, *address, now);
     }
     if let Some(spec) = &snapshot.configuration {
-        node.apply_configuration(spec, "peer");
+        node.apply_configuration(spec, snapshot.configuration_revision, "peer");
     }
     let known = node.state.borrow().endpoint_revision;
     if snapshot.revision <= known {
--- a/crates/clementinepond_entry/src/store/watch.rs
+++ b/crates/clementinepond_entry/src/store/watch.rs
@@ -80,6 +80,7 @@
                     .await
                     .map(|page| (page, true)),
                 Some(from) => {
+                    let from = from.max(node.known_revision(target));
                     let watch = client.watch(target.kind(), from, WATCH_DURATION);
                     watch.await.map(|page| (page, false))
                 }
@@ -142,7 +143,7 @@
                 if &*object.name == clementinepond_platform::CONFIGURATION_NAME
                     && !object.is_deleted
                 {
-                    node.apply_configuration(&object.spec, "store");
+                    node.apply_configuration(&object.spec, object.revision, "store");
                 }
             }
             node.record_configuration_revision(page.revision);
