--- a/crates/clementinepond/tests/entry/support.rs
+++ b/crates/clementinepond/tests/entry/support.rs
@@ -55,6 +55,7 @@
             "orders": { "holder_gap_ms": 3000.0 },
             "shutdown": { "grace_s": 6.0 },
             "peers": { "interval_ms": null },
+            "capacity": { "link_mbps": 10.0 },
         });
         std::fs::write(&settings, format!("// A test.\n{text}")).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_clementinepond"))
--- a/crates/clementinepond_dispatch/src/peer/message.rs
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -193,6 +193,8 @@
     pub after: u64,
     /// Changes, oldest first.
     pub changes: Vec<EntryChange>,
+    /// VMs to which the receiver forwards the update.
+    pub relay_to: Vec<VmId>,
 }
 
 /// Message with its sender.
--- a/crates/clementinepond_dispatch/src/peer/mod.rs
+++ b/crates/clementinepond_dispatch/src/peer/mod.rs
@@ -2,9 +2,11 @@
 
 mod message;
 mod peer_table;
+mod relay;
 
 pub use message::{
     AccountUsage, AdapterLocation, EntryChange, EntryUpdate, ModelDemand, PeerEnvelope,
     PeerHeartbeat, PeerMessage, PlacementUpdate, RunUpdate, SentRun,
 };
 pub use peer_table::{PeerState, PeerTable, RemoteUsage, SMALL_FLEET_MAX_VMS};
+pub use relay::{direct_copies, divide_recipients};
--- a/crates/clementinepond_dispatch/src/peer/peer_table.rs
+++ b/crates/clementinepond_dispatch/src/peer/peer_table.rs
@@ -273,6 +273,19 @@
             .map_or(PEER_EXPIRY, |peer| now.since(peer.last_seen))
     }
 
+    /// Returns the live peers of a data centre, those with the widest links first.
+    #[must_use]
+    pub fn in_data_centre(&self, data_centre: &DataCentreId, now: LocalTime) -> Vec<VmId> {
+        let mut peers: Vec<(u32, &VmId)> = self
+            .live(now)
+            .filter_map(|(vm, peer)| Some((vm, peer.heartbeat.as_ref()?)))
+            .filter(|(_, heartbeat)| heartbeat.data_centre == *data_centre)
+            .map(|(vm, heartbeat)| (heartbeat.link_mbps, vm))
+            .collect();
+        peers.sort_by_key(|(link_mbps, _)| std::cmp::Reverse(*link_mbps));
+        peers.into_iter().map(|(_, vm)| vm.clone()).collect()
+    }
+
     /// Returns a peer's address.
     #[must_use]
     pub fn address(&self, vm: &VmId) -> Option<SocketAddrV4> {
--- a/crates/clementinepond_dispatch/tests/peers.rs
+++ b/crates/clementinepond_dispatch/tests/peers.rs
@@ -4,7 +4,9 @@
 
 mod support;
 
-use clementinepond_dispatch::peer::{AccountUsage, PeerHeartbeat, PeerTable};
+use clementinepond_dispatch::peer::{
+    AccountUsage, PeerHeartbeat, PeerTable, direct_copies, divide_recipients,
+};
 use clementinepond_types::VmId;
 use std::net::SocketAddrV4;
 use support::at;
@@ -172,3 +174,29 @@
     }
     assert!(!table.is_usage_fresh(at(2_000)));
 }
+
+/// Returns how often each VM gets a message, and the most copies that one VM sends.
+fn relay(vms: usize, link_mbps: u32) -> (Vec<u32>, usize) {
+    let mut received = vec![0; vms];
+    let mut most = 0;
+    let mut pending = vec![(0..vms).collect::<Vec<usize>>()];
+    while let Some(recipients) = pending.pop() {
+        let groups = divide_recipients(recipients, direct_copies(link_mbps));
+        most = most.max(groups.len());
+        for (vm, relay_to) in groups {
+            received[vm] += 1;
+            pending.push(relay_to);
+        }
+    }
+    (received, most)
+}
+
+#[test]
+fn every_recipient_gets_one_copy_and_narrow_link_sends_few() {
+    for vms in [0, 1, 2, 28, 130] {
+        let (received, most) = relay(vms, 10);
+        assert_eq!(received, vec![1; vms]);
+        assert!(most <= 3, "a VM with a narrow link sends {most} copies");
+        assert_eq!(relay(vms, 1_000), (vec![1; vms], vms));
+    }
+}
--- a/crates/clementinepond_entry/src/node/peers.rs
+++ b/crates/clementinepond_entry/src/node/peers.rs
@@ -194,9 +194,11 @@
         }
     }
 
-    /// Sends a message to the peers of this data centre.
-    pub(crate) fn broadcast_in_data_centre(&self, message: PeerMessage) {
-        let own_data_centre = self.settings().data_centre.clone();
+    /// Sends a message to VMs; those whose address is unknown are left out.
+    pub(crate) fn send_to_vms(&self, message: PeerMessage, vms: &[VmId]) {
+        if vms.is_empty() {
+            return;
+        }
         let Some(socket) = self.socket.get() else {
             return;
         };
@@ -204,11 +206,10 @@
             return;
         };
         let state = self.state.borrow();
-        let is_same_data_centre =
-            |heartbeat: &PeerHeartbeat| heartbeat.data_centre == own_data_centre;
-        for (_, peer) in state.peers.all() {
-            if peer.heartbeat.as_deref().is_some_and(is_same_data_centre) {
-                socket.send(&datagram, peer.address);
+        for vm in vms {
+            match state.peers.address(vm) {
+                Some(address) => socket.send(&datagram, address),
+                None => log::debug!("event=message_dropped to={vm} error=\"address unknown\""),
             }
         }
     }
