--- a/crates/clementinepond_dispatch/src/peer/mod.rs
+++ b/crates/clementinepond_dispatch/src/peer/mod.rs
@@ -1,9 +1,11 @@
 //! Messages between VMs and the table of peers.
 
+mod link_budget;
 mod message;
 mod peer_table;
 mod relay;
 
+pub use link_budget::LinkBudget;
 pub use message::{
     AccountUsage, AdapterLocation, EntryChange, EntryUpdate, ModelDemand, PeerEnvelope,
     PeerHeartbeat, PeerMessage, PlacementUpdate, RunUpdate, SentRun,
--- a/crates/clementinepond_entry/src/node/entry_node.rs
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -13,7 +13,7 @@
 use clementinepond_dispatch::health::HealthTable;
 use clementinepond_dispatch::lease::PlacementLease;
 use clementinepond_dispatch::load::{LoadTable, NameHash};
-use clementinepond_dispatch::peer::PeerTable;
+use clementinepond_dispatch::peer::{LinkBudget, PeerTable};
 use clementinepond_dispatch::placement::{DemandMeter, PlacementPlanner};
 use clementinepond_dispatch::quota::RateLimiter;
 use clementinepond_dispatch::select::PrefixCacheIndex;
@@ -73,6 +73,8 @@
     pub(crate) planners: FnvHashMap<ServiceId, PlacementPlanner>,
     /// Endpoints that this VM ejected recently, reported to peers in heartbeats.
     pub(crate) ejected_here: FnvHashMap<NameHash, LocalTime>,
+    /// Limit of the snapshots served to peers.
+    pub(crate) snapshot_budget: LinkBudget,
     /// Requests that were sent but not announced to the peers yet.
     pub(crate) unannounced: RunOutbox,
 }
@@ -134,6 +136,7 @@
             lease: None,
             planners: FnvHashMap::default(),
             ejected_here: FnvHashMap::default(),
+            snapshot_budget: LinkBudget::default(),
             unannounced: RunOutbox::default(),
         };
         Self {
--- a/crates/clementinepond_entry/src/node/peers.rs
+++ b/crates/clementinepond_entry/src/node/peers.rs
@@ -141,36 +141,27 @@
             })
     }
 
-    /// Returns the address of a live peer with a newer configuration or directory than
-    /// this VM, if there is one.
-    pub(crate) fn newer_peer(&self, now: LocalTime) -> Option<SocketAddrV4> {
+    /// Returns a live peer with a newer configuration or directory than this VM, and its
+    /// address; none of `excluded`.
+    pub(crate) fn newer_peer(
+        &self,
+        excluded: &[VmId],
+        now: LocalTime,
+    ) -> Option<(VmId, SocketAddrV4)> {
         let state = self.state.borrow();
         let version = state.configuration_version();
         let revision = state.endpoint_revision;
-        let own_data_centre = self.settings().data_centre.clone();
-        let ahead: Vec<_> = state
-            .peers
-            .live(now)
-            .filter_map(|(_, peer)| Some((peer.address, peer.heartbeat.as_ref()?)))
-            .filter(|(_, heartbeat)| {
-                heartbeat.configuration > version || heartbeat.directory > revision
-            })
-            .collect();
-        // Among the peers with the newest configuration, those of this data centre are
-        // preferred; the random choice spreads the load over them.
-        let newest = ahead
-            .iter()
-            .map(|(_, heartbeat)| heartbeat.configuration)
-            .max()?;
-        let known = ahead
-            .iter()
-            .filter(|(_, heartbeat)| heartbeat.configuration == newest);
-        known
-            .max_by_key(|(_, heartbeat)| {
-                let is_same_data_centre = heartbeat.data_centre == own_data_centre;
-                (is_same_data_centre, rand::rng().random::<u32>())
-            })
-            .map(|(address, _)| *address)
+        let is_ahead = |heartbeat: &PeerHeartbeat| {
+            heartbeat.configuration > version || heartbeat.directory > revision
+        };
+        let data_centre = self.settings().data_centre.clone();
+        state.peers.snapshot_source(
+            is_ahead,
+            &data_centre,
+            excluded,
+            || rand::rng().random(),
+            now,
+        )
     }
 
     /// Returns the demand for each model, summed over this VM and its peers.
--- a/crates/clementinepond_entry/src/peer/snapshot.rs
+++ b/crates/clementinepond_entry/src/peer/snapshot.rs
@@ -31,6 +31,8 @@
 const SNAPSHOT_DELAY: TimeSpan = TimeSpan::from_millis(200);
 /// Timeout of a snapshot request.
 const CALL_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_500);
+/// Number of peers from which a snapshot is requested in turn.
+const MAX_SOURCES: usize = 3;
 /// Request path of the snapshot.
 const SNAPSHOT_PATH: &str = "/snapshot";
 
@@ -91,12 +93,15 @@
 }
 
 fn answer(node: &EntryNode, path: &str, query: &str) -> Response<Full<Bytes>> {
-    let (status, body) = if path == SNAPSHOT_PATH {
+    let (status, body) = if path != SNAPSHOT_PATH {
+        (StatusCode::NOT_FOUND, Vec::new())
+    } else if !may_serve(node) {
+        // The peer asks another VM.
+        (StatusCode::SERVICE_UNAVAILABLE, Vec::new())
+    } else {
         match serde_json::to_vec(&snapshot(node, query)) {
             Ok(body) => {
-                if let Some(socket) = node.socket.get() {
-                    socket.traffic.record(TrafficKind::Snapshot, body.len());
-                }
+                record_served(node, body.len());
                 (StatusCode::OK, body)
             }
             Err(error) => {
@@ -104,14 +109,26 @@
                 (StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
             }
         }
-    } else {
-        (StatusCode::NOT_FOUND, Vec::new())
     };
     let mut response = Response::new(Full::new(Bytes::from(body)));
     *response.status_mut() = status;
     response
 }
 
+/// Returns whether the link of this VM has room for another snapshot.
+fn may_serve(node: &EntryNode) -> bool {
+    let link_mbps = node.settings().capacity.link();
+    let mut state = node.state.borrow_mut();
+    state.snapshot_budget.is_open(link_mbps, BootClock::now())
+}
+
+fn record_served(node: &EntryNode, bytes: usize) {
+    node.state.borrow_mut().snapshot_budget.charge(bytes);
+    if let Some(socket) = node.socket.get() {
+        socket.traffic.record(TrafficKind::Snapshot, bytes);
+    }
+}
+
 fn snapshot(node: &EntryNode, query: &str) -> FleetSnapshot {
     let number = |key: &str| -> u64 {
         query
@@ -156,7 +173,7 @@
             () = stop.cancelled() => return,
             () = node.heartbeat_received.notified() => {}
         }
-        if node.newer_peer(BootClock::now()).is_none() {
+        if node.newer_peer(&[], BootClock::now()).is_none() {
             continue;
         }
         let jitter = rand::rng().random_range(100..200);
@@ -164,12 +181,7 @@
         if node.is_peer_ahead(WatchTarget::Configuration) && !node.is_watcher(BootClock::now()) {
             read_configuration(&node, &mut client).await;
         }
-        let Some(address) = node.newer_peer(BootClock::now()) else {
-            continue;
-        };
-        if let Some(snapshot) = fetch(&node, address).await {
-            apply(&node, snapshot, address);
-        }
+        fetch_from_peers(&node).await;
     }
 }
 
@@ -185,6 +197,20 @@
     }
 }
 
+/// Requests a snapshot from peers in turn until one serves it.
+async fn fetch_from_peers(node: &EntryNode) {
+    let mut asked = Vec::new();
+    while asked.len() < MAX_SOURCES
+        && let Some((vm, address)) = node.newer_peer(&asked, BootClock::now())
+    {
+        if let Some(snapshot) = fetch(node, address).await {
+            apply(node, snapshot, address);
+            return;
+        }
+        asked.push(vm);
+    }
+}
+
 async fn fetch(node: &EntryNode, address: SocketAddrV4) -> Option<FleetSnapshot> {
     let path = {
         let state = node.state.borrow();
@@ -207,6 +233,13 @@
             return None;
         }
     };
+    if reply.status != StatusCode::OK {
+        log::debug!(
+            "event=snapshot_failed peer={address} error=\"answered {}\"",
+            reply.status
+        );
+        return None;
+    }
     match serde_json::from_slice(&reply.body) {
         Ok(snapshot) => Some(snapshot),
         Err(error) => {
