--- a/crates/clementinepond/tests/entry/main.rs
+++ b/crates/clementinepond/tests/entry/main.rs
@@ -12,5 +12,6 @@
 mod graceful_shutdown;
 mod refusals;
 mod request_path;
+mod slow_peers;
 mod support;
 mod watchers;
--- a/crates/clementinepond_dispatch/src/peer/peer_table.rs
+++ b/crates/clementinepond_dispatch/src/peer/peer_table.rs
@@ -286,44 +286,30 @@
         peers.into_iter().map(|(_, vm)| vm.clone()).collect()
     }
 
-    /// Returns a live peer that `is_ahead` and is not in `excluded`, and its address.
+    /// Returns a live peer that has a rank and is not in `excluded`, and its address.
     ///
-    /// Those with the newest configuration come first, then those of the data centre.
-    /// Among equals the choice is random, in proportion to the bandwidth of their links;
-    /// `draw` returns random numbers between 0 and 1.
+    /// Those with the highest rank come first, then those of the data centre. Among
+    /// equals the choice is random, in proportion to the bandwidth of their links; `draw`
+    /// returns random numbers between 0 and 1.
     pub fn snapshot_source(
         &self,
-        is_ahead: impl Fn(&PeerHeartbeat) -> bool,
+        rank: impl Fn(&PeerHeartbeat) -> Option<u64>,
         data_centre: &DataCentreId,
         excluded: &[VmId],
         mut draw: impl FnMut() -> f64,
         now: LocalTime,
     ) -> Option<(VmId, SocketAddrV4)> {
-        let candidates = self
-            .live(now)
+        self.live(now)
             .filter(|(vm, _)| !excluded.contains(vm))
             .filter_map(|(vm, peer)| {
                 let heartbeat = peer.heartbeat.as_ref()?;
-                is_ahead(heartbeat).then_some((vm, peer.address, heartbeat))
-            });
-        let ranked = candidates.map(|(vm, address, heartbeat)| {
-            let is_same_data_centre = heartbeat.data_centre == *data_centre;
-            // The largest of ln(draw) / weight is a choice in proportion to the weights.
-            let lot = draw().ln() / f64::from(heartbeat.link_mbps.max(1));
-            (
-                heartbeat.configuration,
-                is_same_data_centre,
-                lot,
-                vm,
-                address,
-            )
-        });
-        let best = ranked.max_by(|one, other| {
-            (one.0, one.1)
-                .cmp(&(other.0, other.1))
-                .then(one.2.total_cmp(&other.2))
-        });
-        best.map(|(_, _, _, vm, address)| (vm.clone(), address))
+                let order = (rank(heartbeat)?, heartbeat.data_centre == *data_centre);
+                // The largest of ln(draw) / weight is a choice in proportion to the weights.
+                let lot = draw().ln() / f64::from(heartbeat.link_mbps.max(1));
+                Some((order, lot, vm, peer.address))
+            })
+            .max_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)))
+            .map(|(_, _, vm, address)| (vm.clone(), address))
     }
 
     /// Returns a peer's address.
--- a/crates/clementinepond_entry/src/node/entry_node.rs
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -13,7 +13,7 @@
 use clementinepond_dispatch::health::HealthTable;
 use clementinepond_dispatch::lease::PlacementLease;
 use clementinepond_dispatch::load::{LoadTable, NameHash};
-use clementinepond_dispatch::peer::{LinkBudget, PeerTable};
+use clementinepond_dispatch::peer::{LinkBudget, PeerHeartbeat, PeerTable};
 use clementinepond_dispatch::placement::{DemandMeter, PlacementPlanner};
 use clementinepond_dispatch::quota::RateLimiter;
 use clementinepond_dispatch::select::PrefixCacheIndex;
@@ -86,6 +86,16 @@
             .as_ref()
             .map_or(0, |table| table.policy().version)
     }
+
+    /// Returns the state of the target that a heartbeat's sender has, if it is newer than
+    /// this VM's.
+    pub(crate) fn newer_at(&self, target: WatchTarget, heartbeat: &PeerHeartbeat) -> Option<u64> {
+        let (theirs, own) = match target {
+            WatchTarget::Configuration => (heartbeat.configuration, self.configuration_version()),
+            WatchTarget::Endpoints => (heartbeat.directory, self.endpoint_revision),
+        };
+        (theirs > own).then_some(theirs)
+    }
 }
 
 /// Entry VM: its settings, its state and the notifications between its tasks.
--- a/crates/clementinepond_entry/src/node/peers.rs
+++ b/crates/clementinepond_entry/src/node/peers.rs
@@ -129,39 +129,35 @@
     /// Returns whether a live peer has a newer revision of the target than this VM.
     pub(crate) fn is_peer_ahead(&self, target: WatchTarget) -> bool {
         let state = self.state.borrow();
-        let version = state.configuration_version();
-        let revision = state.endpoint_revision;
         state
             .peers
             .live(BootClock::now())
             .filter_map(|(_, peer)| peer.heartbeat.as_ref())
-            .any(|heartbeat| match target {
-                WatchTarget::Configuration => heartbeat.configuration > version,
-                WatchTarget::Endpoints => heartbeat.directory > revision,
-            })
+            .any(|heartbeat| state.newer_at(target, heartbeat).is_some())
     }
 
-    /// Returns a live peer with a newer configuration or directory than this VM, and its
+    /// Returns a live peer with a newer revision of the target than this VM, and its
     /// address; none of `excluded`.
     pub(crate) fn newer_peer(
         &self,
+        target: WatchTarget,
         excluded: &[VmId],
         now: LocalTime,
     ) -> Option<(VmId, SocketAddrV4)> {
         let state = self.state.borrow();
-        let version = state.configuration_version();
-        let revision = state.endpoint_revision;
-        let is_ahead = |heartbeat: &PeerHeartbeat| {
-            heartbeat.configuration > version || heartbeat.directory > revision
+        let rank = |heartbeat: &PeerHeartbeat| {
+            let newer = state.newer_at(target, heartbeat)?;
+            // The directory changes all the time, so that any newer one will do.
+            Some(match target {
+                WatchTarget::Configuration => newer,
+                WatchTarget::Endpoints => 0,
+            })
         };
         let data_centre = self.settings().data_centre.clone();
-        state.peers.snapshot_source(
-            is_ahead,
-            &data_centre,
-            excluded,
-            || rand::rng().random(),
-            now,
-        )
+        let draw = || rand::rng().random();
+        state
+            .peers
+            .snapshot_source(rank, &data_centre, excluded, draw, now)
     }
 
     /// Returns the demand for each model, summed over this VM and its peers.
--- /dev/null
+++ b/crates/clementinepond_entry/src/peer/fetch.rs
@@ -0,0 +1,190 @@
+//! Fetches of the configuration and of endpoints' entries that peers already have.
+//!
+//! A VM that does not watch the store, cannot reach it, or starts while it is unavailable
+//! learns from heartbeats that a peer is ahead. The configuration has its own task, so that
+//! it never waits for an answer about endpoints.
+
+use super::snapshot::{FleetSnapshot, SNAPSHOT_PATH};
+use crate::clock::BootClock;
+use crate::http::HttpClient;
+use crate::node::{EntryNode, increment};
+use crate::store::{StoreClient, WatchTarget};
+use clementinepond_platform::{CONFIGURATION_KIND, CONFIGURATION_NAME, StoreObject};
+use clementinepond_types::{LocalTime, TimeSpan};
+use hyper::header::HeaderMap;
+use hyper::{Method, StatusCode};
+use rand::RngExt;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use tokio_util::sync::CancellationToken;
+
+/// Minimum delay, doubled at most by jitter, for this VM's own watch or a forwarded change
+/// to arrive before a peer is asked.
+const OWN_WATCH_DELAY: TimeSpan = TimeSpan::from_millis(200);
+/// Time over which the VMs spread their reads of a new configuration.
+const READ_SPREAD: TimeSpan = TimeSpan::from_millis(150);
+/// Time after a failed read of the store in which peers are asked first.
+const STORE_AVOIDANCE: TimeSpan = TimeSpan::from_secs(2);
+/// Timeout of a read of the store; peers have the configuration too.
+const READ_TIMEOUT: TimeSpan = TimeSpan::from_millis(400);
+/// Timeout of a snapshot request.
+const SNAPSHOT_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
+/// Number of peers from which a snapshot is requested in turn.
+const MAX_SOURCES: usize = 3;
+
+/// Fetches the configuration whenever a peer has a newer one, until the VM stops.
+pub(crate) async fn fetch_newer_configuration(node: Rc<EntryNode>, stop: CancellationToken) {
+    let mut client = StoreClient::new(node.settings().store.address);
+    let mut store_failed_at: Option<LocalTime> = None;
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = node.heartbeat_received.notified() => {}
+        }
+        if !node.is_peer_ahead(WatchTarget::Configuration) {
+            continue;
+        }
+        let jitter = rand::rng().random_range(0..100);
+        let is_watcher = node.is_watcher(BootClock::now());
+        let own_delay = if is_watcher {
+            OWN_WATCH_DELAY
+        } else {
+            TimeSpan::ZERO
+        };
+        let delay = own_delay + READ_SPREAD.fraction(jitter, 100);
+        tokio::time::sleep(delay.duration()).await;
+        let now = BootClock::now();
+        let avoids_store = store_failed_at.is_some_and(|at| now.since(at) < STORE_AVOIDANCE);
+        if !is_watcher && !avoids_store {
+            // The store has more bandwidth than a peer.
+            let is_read = read_configuration(&node, &mut client).await;
+            store_failed_at = (!is_read).then(BootClock::now);
+        }
+        fetch_from_peers(&node, WatchTarget::Configuration).await;
+    }
+}
+
+/// Fetches endpoints' entries whenever a peer has newer ones, until the VM stops.
+pub(crate) async fn fetch_newer_entries(node: Rc<EntryNode>, stop: CancellationToken) {
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = node.heartbeat_received.notified() => {}
+        }
+        if !node.is_peer_ahead(WatchTarget::Endpoints) {
+            continue;
+        }
+        let jitter = rand::rng().random_range(100..200);
+        tokio::time::sleep(OWN_WATCH_DELAY.fraction(jitter, 100).duration()).await;
+        fetch_from_peers(&node, WatchTarget::Endpoints).await;
+    }
+}
+
+/// Reads the configuration from the store; returns whether the store answered.
+async fn read_configuration(node: &EntryNode, client: &mut StoreClient) -> bool {
+    increment(&node.stats.store_calls);
+    let read = client.read(CONFIGURATION_KIND, CONFIGURATION_NAME);
+    match tokio::time::timeout(READ_TIMEOUT.duration(), read).await {
+        Ok(Ok(Some(object))) => {
+            node.apply_configuration(&object.spec, object.revision, "store");
+            true
+        }
+        Ok(Ok(None)) => true,
+        Ok(Err(error)) => {
+            log::info!("event=configuration_unread error=\"{error}\"");
+            false
+        }
+        Err(_) => {
+            log::info!("event=configuration_unread error=\"no answer within {READ_TIMEOUT}\"");
+            false
+        }
+    }
+}
+
+/// Requests a snapshot from peers that are ahead, in turn until one serves it.
+async fn fetch_from_peers(node: &EntryNode, target: WatchTarget) {
+    let mut asked = Vec::new();
+    while asked.len() < MAX_SOURCES
+        && let Some((vm, address)) = node.newer_peer(target, &asked, BootClock::now())
+    {
+        if let Some(snapshot) = fetch(node, target, address).await {
+            apply(node, snapshot, address);
+            return;
+        }
+        asked.push(vm);
+    }
+}
+
+async fn fetch(
+    node: &EntryNode,
+    target: WatchTarget,
+    address: SocketAddrV4,
+) -> Option<FleetSnapshot> {
+    let path = {
+        let state = node.state.borrow();
+        match target {
+            WatchTarget::Configuration => {
+                let version = state.configuration_version();
+                format!("{SNAPSHOT_PATH}?configuration={version}")
+            }
+            WatchTarget::Endpoints => {
+                format!("{SNAPSHOT_PATH}?since={}", state.endpoint_revision)
+            }
+        }
+    };
+    let mut client = HttpClient::new(address);
+    let call = client.call(
+        Method::GET,
+        &path,
+        HeaderMap::new(),
+        Vec::new(),
+        SNAPSHOT_TIMEOUT,
+    );
+    let reply = match call.await {
+        Ok(reply) => reply,
+        Err(error) => {
+            log::debug!("event=snapshot_failed peer={address} error=\"{error}\"");
+            return None;
+        }
+    };
+    if reply.status != StatusCode::OK {
+        log::debug!(
+            "event=snapshot_failed peer={address} error=\"answered {}\"",
+            reply.status
+        );
+        return None;
+    }
+    match serde_json::from_slice(&reply.body) {
+        Ok(snapshot) => Some(snapshot),
+        Err(error) => {
+            log::warn!("event=snapshot_malformed peer={address} error=\"{error}\"");
+            None
+        }
+    }
+}
+
+fn apply(node: &EntryNode, snapshot: FleetSnapshot, address: SocketAddrV4) {
+    let now = BootClock::now();
+    for (vm, address) in &snapshot.vms {
+        node.learn_peer(vm, *address, now);
+    }
+    if let Some(spec) = &snapshot.configuration {
+        node.apply_configuration(spec, snapshot.configuration_revision, "peer");
+    }
+    let known = node.state.borrow().endpoint_revision;
+    if snapshot.revision <= known {
+        return;
+    }
+    log::info!(
+        "event=snapshot_taken peer={address} revision={} known={known} entries={}",
+        snapshot.revision,
+        snapshot.endpoints.len()
+    );
+    let objects = snapshot.endpoints.into_iter().map(|record| StoreObject {
+        name: record.name,
+        revision: record.revision,
+        is_deleted: false,
+        spec: record.spec,
+    });
+    node.apply_snapshot(objects.collect(), &snapshot.names, snapshot.revision);
+}
--- a/crates/clementinepond_entry/src/run.rs
+++ b/crates/clementinepond_entry/src/run.rs
@@ -5,7 +5,8 @@
 use crate::log_sink::flush_log;
 use crate::node::EntryNode;
 use crate::peer::{
-    PeerSocket, fetch_newer_snapshots, run_heartbeats, run_receiver, serve_snapshots,
+    PeerSocket, fetch_newer_configuration, fetch_newer_entries, run_heartbeats, run_receiver,
+    serve_snapshots,
 };
 use crate::placement_lease::{release_lease, run_lease, run_orders};
 use crate::settings::{EntrySettings, ListenSettings, SettingsError};
@@ -121,7 +122,8 @@
     tokio::task::spawn_local(announce_vm(node(), ended.clone()));
     tokio::task::spawn_local(run_receiver(node(), Rc::clone(socket), ended.clone()));
     tokio::task::spawn_local(run_heartbeats(node(), Rc::clone(socket), ended.clone()));
-    tokio::task::spawn_local(fetch_newer_snapshots(node(), ended.clone()));
+    tokio::task::spawn_local(fetch_newer_configuration(node(), ended.clone()));
+    tokio::task::spawn_local(fetch_newer_entries(node(), ended.clone()));
     tokio::task::spawn_local(run_lease(node(), placement_stop.clone()));
     tokio::task::spawn_local(run_orders(node(), placement_stop.clone()));
     tokio::task::spawn_local(sweep(node(), ended.clone()));
