--- a/crates/clementinepond/tests/entry/configuration.rs
+++ b/crates/clementinepond/tests/entry/configuration.rs
@@ -31,6 +31,32 @@
     assert_eq!(status, 401);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn invalid_configuration_keeps_previous_until_next_valid_one() {
+    let deployment = Deployment::start(1).await;
+    let entry = deployment.entry("vm-1");
+    entry.ready().await;
+    let mut invalid = configuration(9);
+    invalid["routes"][3]["route_type"] = json!("odd");
+    invalid["tenants"][0]["api_keys"] = json!([]);
+    deployment.store.put("config", "main", invalid);
+    wait_until("version 9 is refused", || {
+        entry.has_logged("event=configuration_refused")
+    })
+    .await;
+    let (status, _) = expect_answer(send_call(entry.callers, call_to("/read/x", None)).await);
+    assert_eq!(status, 200);
+    let mut withdrawn = configuration(10);
+    withdrawn["tenants"][0]["api_keys"] = json!([]);
+    deployment.store.put("config", "main", withdrawn);
+    wait_until("version 10 is applied", || {
+        entry.has_logged("event=configuration_applied version=10")
+    })
+    .await;
+    let (status, _) = expect_answer(send_call(entry.callers, call_to("/read/x", None)).await);
+    assert_eq!(status, 401);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn malformed_endpoint_entries_are_ignored() {
     let deployment = Deployment::start(1).await;
--- a/crates/clementinepond_dispatch/src/peer/message.rs
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -173,6 +173,13 @@
         /// Fingerprint of the request.
         fingerprint: u64,
     },
+    /// A VM has read a new configuration from the store.
+    Configuration {
+        /// Random number that identifies the process.
+        incarnation: u64,
+        /// Version of the configuration.
+        version: u64,
+    },
 }
 
 /// Change to an endpoint's entry in the store.
--- a/crates/clementinepond_dispatch/src/peer/peer_table.rs
+++ b/crates/clementinepond_dispatch/src/peer/peer_table.rs
@@ -150,6 +150,27 @@
         Some(units)
     }
 
+    /// Records that a peer has a version of the configuration, if the process is the one
+    /// of its last heartbeat.
+    pub fn record_configuration(
+        &mut self,
+        vm: &VmId,
+        incarnation: u64,
+        version: u64,
+        now: LocalTime,
+    ) {
+        self.record_contact(vm, incarnation, now);
+        let heartbeat = self
+            .peers
+            .get_mut(vm)
+            .and_then(|peer| peer.heartbeat.as_mut());
+        if let Some(heartbeat) = heartbeat
+            && heartbeat.incarnation == incarnation
+        {
+            heartbeat.configuration = heartbeat.configuration.max(version);
+        }
+    }
+
     /// Records contact with a peer, if the process is the one of its last heartbeat.
     pub fn record_contact(&mut self, vm: &VmId, incarnation: u64, now: LocalTime) {
         if let Some(peer) = self.peers.get_mut(vm) {
--- a/crates/clementinepond_entry/src/node/entry_node.rs
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -109,8 +109,8 @@
     pub(crate) stats: NodeStats,
     /// Time of the stop signal; `None` while the VM serves.
     pub(crate) stopping_since: Cell<Option<LocalTime>>,
-    /// Wakes the watches and the snapshot task when a heartbeat has arrived.
-    pub(crate) heartbeat_received: Notify,
+    /// Wakes the watches and the fetches when a peer has sent its state.
+    pub(crate) peer_updated: Notify,
     /// Wakes requests that wait for a copy or an adapter.
     pub(crate) placement_changed: Notify,
     /// Wakes the task that plans placement and sends orders.
@@ -156,7 +156,7 @@
             pool: ConnectionPool::default(),
             stats: NodeStats::default(),
             stopping_since: Cell::new(None),
-            heartbeat_received: Notify::new(),
+            peer_updated: Notify::new(),
             placement_changed: Notify::new(),
             orders_due: Notify::new(),
             socket: OnceCell::new(),
@@ -185,7 +185,7 @@
     /// Waits until a peer has a newer revision and this VM's watch did not catch up.
     pub(crate) async fn peer_ahead(&self, target: WatchTarget) {
         loop {
-            self.heartbeat_received.notified().await;
+            self.peer_updated.notified().await;
             if !self.is_peer_ahead(target) {
                 continue;
             }
--- a/crates/clementinepond_entry/src/node/fleet_state.rs
+++ b/crates/clementinepond_entry/src/node/fleet_state.rs
@@ -32,20 +32,22 @@
 impl EntryNode {
     /// Applies a configuration if it is newer than the current one; `revision` is a store
     /// revision at which it is the stored one.
-    pub(crate) fn apply_configuration(&self, spec: &Value, revision: u64, source: &str) {
+    ///
+    /// Returns whether it was applied.
+    pub(crate) fn apply_configuration(&self, spec: &Value, revision: u64, source: &str) -> bool {
         self.record_configuration_revision(revision);
         let policy = match read_configuration(spec) {
             Ok(policy) => policy,
             Err(error) => {
                 log::error!("event=configuration_refused source={source} error=\"{error}\"");
-                return;
+                return false;
             }
         };
         let version = policy.version;
         let mut state = self.state.borrow_mut();
         let current = state.configuration_version();
         if state.table.is_some() && version <= current {
-            return;
+            return false;
         }
         let newer_since = state.newer_configuration_since.take();
         let behind = newer_since.map_or(TimeSpan::ZERO, |since| BootClock::now().since(since));
@@ -59,6 +61,7 @@
         state.configuration_spec = Some(Rc::new(spec.clone()));
         drop(state);
         self.placement_changed.notify_waiters();
+        true
     }
 
     /// Returns the store revision up to which all changes of a kind are known.
--- a/crates/clementinepond_entry/src/node/peers.rs
+++ b/crates/clementinepond_entry/src/node/peers.rs
@@ -5,7 +5,9 @@
 use crate::store::WatchTarget;
 use clementinepond_dispatch::lease::LeaseEvent;
 use clementinepond_dispatch::load::NameHash;
-use clementinepond_dispatch::peer::{AccountUsage, ModelDemand, PeerHeartbeat, PeerMessage};
+use clementinepond_dispatch::peer::{
+    AccountUsage, ModelDemand, PeerHeartbeat, PeerMessage, SMALL_FLEET_MAX_VMS,
+};
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan, VmId};
 use fnv::FnvHashMap;
 use rand::RngExt;
@@ -84,11 +86,48 @@
                 state.health.eject(&id, now);
             }
         }
-        if configuration > state.configuration_version() {
+        drop(guard);
+        self.notify_newer_configuration(configuration, now);
+    }
+
+    /// Applies a peer's announcement that it has a version of the configuration.
+    pub(crate) fn apply_announcement(
+        &self,
+        from: &VmId,
+        incarnation: u64,
+        version: u64,
+        now: LocalTime,
+    ) {
+        let mut state = self.state.borrow_mut();
+        state
+            .peers
+            .record_configuration(from, incarnation, version, now);
+        drop(state);
+        self.notify_newer_configuration(version, now);
+    }
+
+    /// Wakes the tasks that wait for a peer to be ahead.
+    fn notify_newer_configuration(&self, version: u64, now: LocalTime) {
+        let mut state = self.state.borrow_mut();
+        if version > state.configuration_version() {
             state.newer_configuration_since.get_or_insert(now);
         }
-        drop(guard);
-        self.heartbeat_received.notify_waiters();
+        drop(state);
+        self.peer_updated.notify_waiters();
+    }
+
+    /// Announces the configuration to all peers if the fleet is large and this VM is a
+    /// watcher; the next heartbeat may be seconds away.
+    pub(crate) fn announce_configuration(&self) {
+        let now = BootClock::now();
+        let is_large = self.state.borrow().peers.peer_counts(now).1 >= SMALL_FLEET_MAX_VMS;
+        if is_large && self.is_watcher(now) {
+            let version = self.state.borrow().configuration_version();
+            self.broadcast(PeerMessage::Configuration {
+                incarnation: self.incarnation,
+                version,
+            });
+        }
     }
 
     /// Returns this VM's next heartbeat.
--- a/crates/clementinepond_entry/src/peer/fetch.rs
+++ b/crates/clementinepond_entry/src/peer/fetch.rs
@@ -21,8 +21,11 @@
 /// Minimum delay, doubled at most by jitter, for this VM's own watch or a forwarded change
 /// to arrive before a peer is asked.
 const OWN_WATCH_DELAY: TimeSpan = TimeSpan::from_millis(200);
-/// Time over which the VMs spread their reads of a new configuration.
+/// Time over which the VMs spread their reads of a new configuration; doubled by each
+/// further fetch in a row that leaves the VM behind.
 const READ_SPREAD: TimeSpan = TimeSpan::from_millis(150);
+/// Maximum number of times that the spread is doubled.
+const MAX_DOUBLINGS: u32 = 4;
 /// Time after a failed read of the store in which peers are asked first.
 const STORE_AVOIDANCE: TimeSpan = TimeSpan::from_secs(2);
 /// Timeout of a read of the store; peers have the configuration too.
@@ -36,12 +39,14 @@
 pub(crate) async fn fetch_newer_configuration(node: Rc<EntryNode>, stop: CancellationToken) {
     let mut client = StoreClient::new(node.settings().store.address);
     let mut store_failed_at: Option<LocalTime> = None;
+    let mut failures = 0;
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
-            () = node.heartbeat_received.notified() => {}
+            () = node.peer_updated.notified() => {}
         }
         if !node.is_peer_ahead(WatchTarget::Configuration) {
+            failures = 0;
             continue;
         }
         let jitter = rand::rng().random_range(0..100);
@@ -51,8 +56,10 @@
         } else {
             TimeSpan::ZERO
         };
-        let delay = own_delay + READ_SPREAD.fraction(jitter, 100);
+        let spread = READ_SPREAD.fraction(1 << failures, 1);
+        let delay = own_delay + spread.fraction(jitter, 100);
         tokio::time::sleep(delay.duration()).await;
+        let before = node.state.borrow().configuration_version();
         let now = BootClock::now();
         let avoids_store = store_failed_at.is_some_and(|at| now.since(at) < STORE_AVOIDANCE);
         if !is_watcher && !avoids_store {
@@ -61,6 +68,11 @@
             store_failed_at = (!is_read).then(BootClock::now);
         }
         fetch_from_peers(&node, WatchTarget::Configuration).await;
+        failures = if node.state.borrow().configuration_version() > before {
+            0
+        } else {
+            (failures + 1).min(MAX_DOUBLINGS)
+        };
     }
 }
 
@@ -69,7 +81,7 @@
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
-            () = node.heartbeat_received.notified() => {}
+            () = node.peer_updated.notified() => {}
         }
         if !node.is_peer_ahead(WatchTarget::Endpoints) {
             continue;
--- a/crates/clementinepond_entry/src/peer/socket.rs
+++ b/crates/clementinepond_entry/src/peer/socket.rs
@@ -125,6 +125,10 @@
             model,
             adapter,
         } => node.apply_adapter_wanted(&from, &endpoint, &model, &adapter, now),
+        PeerMessage::Configuration {
+            incarnation,
+            version,
+        } => node.apply_announcement(&from, incarnation, version, now),
         PeerMessage::Crash { fingerprint } => {
             node.state
                 .borrow_mut()
--- a/crates/clementinepond_entry/src/peer/traffic.rs
+++ b/crates/clementinepond_entry/src/peer/traffic.rs
@@ -40,7 +40,8 @@
             PeerMessage::Placement(_) => Self::Placement,
             PeerMessage::AdapterWanted { .. }
             | PeerMessage::AdapterReady(_)
-            | PeerMessage::Crash { .. } => Self::Other,
+            | PeerMessage::Crash { .. }
+            | PeerMessage::Configuration { .. } => Self::Other,
         }
     }
 
--- a/crates/clementinepond_entry/src/store/watch.rs
+++ b/crates/clementinepond_entry/src/store/watch.rs
@@ -139,14 +139,18 @@
 fn apply_page(node: &EntryNode, target: WatchTarget, page: StorePage, is_list: bool) {
     match target {
         WatchTarget::Configuration => {
+            let mut is_newer = false;
             for object in page.objects {
                 if &*object.name == clementinepond_platform::CONFIGURATION_NAME
                     && !object.is_deleted
                 {
-                    node.apply_configuration(&object.spec, object.revision, "store");
+                    is_newer |= node.apply_configuration(&object.spec, object.revision, "store");
                 }
             }
             node.record_configuration_revision(page.revision);
+            if is_newer {
+                node.announce_configuration();
+            }
         }
         WatchTarget::Endpoints => node.apply_endpoints(page, is_list, "store"),
     }
