--- a/crates/clementinepond_entry/src/peer/fetch.rs
+++ b/crates/clementinepond_entry/src/peer/fetch.rs
@@ -23,9 +23,9 @@
 const OWN_WATCH_DELAY: TimeSpan = TimeSpan::from_millis(200);
 /// Time over which the VMs spread their reads of a new configuration; doubled by each
 /// further fetch in a row that leaves the VM behind.
-const READ_SPREAD: TimeSpan = TimeSpan::from_millis(300);
+const READ_SPREAD: TimeSpan = TimeSpan::from_millis(150);
 /// Maximum number of times that the spread is doubled.
-const MAX_DOUBLINGS: u32 = 3;
+const MAX_DOUBLINGS: u32 = 4;
 /// Time after a failed read of the store in which peers are asked first.
 const STORE_AVOIDANCE: TimeSpan = TimeSpan::from_secs(2);
 /// Timeout of a read of the store; peers have the configuration too.
