--- a/crates/clementinepond_dispatch/src/peer/message.rs
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -200,15 +200,15 @@
     pub after: u64,
     /// Changes, oldest first.
     pub changes: Vec<EntryChange>,
-    /// VMs to which the receiver forwards the update.
-    pub relay_to: Vec<VmId>,
 }
 
 /// Message with its sender.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PeerEnvelope {
-    /// VM that sent the message.
+    /// VM that the message is from, also if another one forwards it.
     pub from: VmId,
+    /// VMs to which the receiver forwards the message.
+    pub relay_to: Vec<VmId>,
     /// Content.
     pub message: PeerMessage,
 }
--- a/crates/clementinepond_dispatch/src/peer/peer_table.rs
+++ b/crates/clementinepond_dispatch/src/peer/peer_table.rs
@@ -5,6 +5,7 @@
 use crate::select::rendezvous_weight;
 use clementinepond_types::{AccountId, DataCentreId, LocalTime, TimeSpan, VmId};
 use fnv::FnvHashMap;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
@@ -294,17 +295,20 @@
             .map_or(PEER_EXPIRY, |peer| now.since(peer.last_seen))
     }
 
-    /// Returns the live peers of a data centre, those with the widest links first.
+    /// Returns the live peers, or those of one data centre, in the order in which they
+    /// relay messages: by data centre, those with the widest links first.
     #[must_use]
-    pub fn in_data_centre(&self, data_centre: &DataCentreId, now: LocalTime) -> Vec<VmId> {
-        let mut peers: Vec<(u32, &VmId)> = self
+    pub fn recipients(&self, data_centre: Option<&DataCentreId>, now: LocalTime) -> Vec<VmId> {
+        let mut peers: Vec<(&DataCentreId, Reverse<u32>, &VmId)> = self
             .live(now)
             .filter_map(|(vm, peer)| Some((vm, peer.heartbeat.as_ref()?)))
-            .filter(|(_, heartbeat)| heartbeat.data_centre == *data_centre)
-            .map(|(vm, heartbeat)| (heartbeat.link_mbps, vm))
+            .filter(|(_, heartbeat)| {
+                data_centre.is_none_or(|wanted| heartbeat.data_centre == *wanted)
+            })
+            .map(|(vm, heartbeat)| (&heartbeat.data_centre, Reverse(heartbeat.link_mbps), vm))
             .collect();
-        peers.sort_by_key(|(link_mbps, _)| std::cmp::Reverse(*link_mbps));
-        peers.into_iter().map(|(_, vm)| vm.clone()).collect()
+        peers.sort();
+        peers.into_iter().map(|(_, _, vm)| vm.clone()).collect()
     }
 
     /// Returns a live peer that has a rank and is not in `excluded`, and its address.
--- a/crates/clementinepond_dispatch/src/peer/relay.rs
+++ b/crates/clementinepond_dispatch/src/peer/relay.rs
@@ -15,21 +15,22 @@
     ((link_mbps / MBPS_PER_COPY) as usize).max(MIN_COPIES)
 }
 
-/// Divides recipients into at most `copies` groups of about the same size.
+/// Divides recipients into at most `copies` groups of consecutive ones, of about the same
+/// size.
 ///
 /// The first recipient of a group gets the message and forwards it to the rest.
 #[must_use]
 pub fn divide_recipients<T>(recipients: Vec<T>, copies: usize) -> Vec<(T, Vec<T>)> {
     let copies = copies.min(recipients.len());
-    let mut groups: Vec<Vec<T>> = (0..copies).map(|_| Vec::new()).collect();
-    for (index, recipient) in recipients.into_iter().enumerate() {
-        groups[index % copies].push(recipient);
+    let mut left = recipients.len();
+    let mut recipients = recipients.into_iter();
+    let mut groups = Vec::with_capacity(copies);
+    for index in 0..copies {
+        let size = left.div_ceil(copies - index);
+        left -= size;
+        if let Some(relay) = recipients.next() {
+            groups.push((relay, recipients.by_ref().take(size - 1).collect()));
+        }
     }
     groups
-        .into_iter()
-        .filter_map(|group| {
-            let mut group = group.into_iter();
-            Some((group.next()?, group.collect()))
-        })
-        .collect()
 }
--- a/crates/clementinepond_entry/src/node/fleet_state.rs
+++ b/crates/clementinepond_entry/src/node/fleet_state.rs
@@ -5,12 +5,10 @@
 use crate::store::WatchTarget;
 use clementinepond_dispatch::directory::EndpointChange;
 use clementinepond_dispatch::load::NameHash;
-use clementinepond_dispatch::peer::{
-    EntryChange, EntryUpdate, PeerMessage, SMALL_FLEET_MAX_VMS, direct_copies, divide_recipients,
-};
+use clementinepond_dispatch::peer::{EntryChange, EntryUpdate, PeerMessage, SMALL_FLEET_MAX_VMS};
 use clementinepond_dispatch::table::RouteTable;
 use clementinepond_platform::{StoreObject, StorePage, read_configuration, read_endpoint};
-use clementinepond_types::{EndpointId, LocalTime, TimeSpan, VmId};
+use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
 use serde_json::Value;
 use std::rc::Rc;
 
@@ -114,7 +112,7 @@
             if is_small || !is_watcher {
                 return;
             }
-            let recipients = state.peers.in_data_centre(&settings.data_centre, now);
+            let recipients = state.peers.recipients(Some(&settings.data_centre), now);
             (state.endpoint_revision, recipients)
         };
         let mut after = after;
@@ -131,13 +129,12 @@
             let update = EntryUpdate {
                 after,
                 changes: changes.collect(),
-                relay_to: Vec::new(),
             };
             after = batch
                 .iter()
                 .map(|object| object.revision)
                 .fold(after, u64::max);
-            self.send_entries(update, recipients.clone());
+            self.send_through_relays(PeerMessage::Entries(update), recipients.clone());
         }
     }
 
@@ -181,31 +178,9 @@
         self.orders_due.notify_one();
     }
 
-    /// Sends changes to VMs, directly or through others as the bandwidth of this VM's link
-    /// allows.
-    fn send_entries(&self, update: EntryUpdate, recipients: Vec<VmId>) {
-        let copies = direct_copies(self.settings().capacity.link());
-        let (relays, last): (Vec<_>, Vec<_>) = divide_recipients(recipients, copies)
-            .into_iter()
-            .partition(|(_, relay_to)| !relay_to.is_empty());
-        for (relay, relay_to) in relays {
-            let relayed = EntryUpdate {
-                relay_to,
-                ..update.clone()
-            };
-            self.send_to_vms(PeerMessage::Entries(relayed), &[relay]);
-        }
-        let last: Vec<VmId> = last.into_iter().map(|(vm, _)| vm).collect();
-        self.send_to_vms(PeerMessage::Entries(update), &last);
-    }
-
-    /// Applies and forwards changes that a watcher sent.
-    pub(crate) fn apply_entry_update(&self, mut update: EntryUpdate) {
+    /// Applies changes that a watcher sent.
+    pub(crate) fn apply_entry_update(&self, update: EntryUpdate) {
         let now = BootClock::now();
-        let relay_to = std::mem::take(&mut update.relay_to);
-        if !relay_to.is_empty() {
-            self.send_entries(update.clone(), relay_to);
-        }
         let known = self.state.borrow().endpoint_revision;
         let mut newest = known;
         for change in update.changes {
--- a/crates/clementinepond_entry/src/node/peers.rs
+++ b/crates/clementinepond_entry/src/node/peers.rs
@@ -2,11 +2,13 @@
 
 use super::EntryNode;
 use crate::clock::BootClock;
+use crate::peer::PeerDatagram;
 use crate::store::WatchTarget;
 use clementinepond_dispatch::lease::LeaseEvent;
 use clementinepond_dispatch::load::NameHash;
 use clementinepond_dispatch::peer::{
-    AccountUsage, ModelDemand, PeerHeartbeat, PeerMessage, SMALL_FLEET_MAX_VMS,
+    AccountUsage, ModelDemand, PeerEnvelope, PeerHeartbeat, PeerMessage, SMALL_FLEET_MAX_VMS,
+    direct_copies, divide_recipients,
 };
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan, VmId};
 use fnv::FnvHashMap;
@@ -215,27 +217,47 @@
         let Some(socket) = self.socket.get() else {
             return;
         };
-        if let Some(datagram) = socket.encode(message) {
+        if let Some(datagram) = socket.encode_own(message) {
             socket.send(&datagram, address);
         }
     }
 
-    /// Sends a message to VMs; those whose address is unknown are left out.
-    pub(crate) fn send_to_vms(&self, message: PeerMessage, vms: &[VmId]) {
-        if vms.is_empty() {
-            return;
-        }
+    /// Sends a message to VMs, directly or through others as the bandwidth of this VM's
+    /// link allows.
+    pub(crate) fn send_through_relays(&self, message: PeerMessage, recipients: Vec<VmId>) {
+        let from = self.settings().vm.clone();
+        self.relay(from, message, recipients);
+    }
+
+    /// Sends or forwards a message that is from a VM; recipients whose address is unknown
+    /// are left out.
+    pub(crate) fn relay(&self, from: VmId, message: PeerMessage, recipients: Vec<VmId>) {
         let Some(socket) = self.socket.get() else {
             return;
         };
-        let Some(datagram) = socket.encode(message) else {
-            return;
+        let mut envelope = PeerEnvelope {
+            from,
+            relay_to: Vec::new(),
+            message,
         };
         let state = self.state.borrow();
-        for vm in vms {
-            match state.peers.address(vm) {
-                Some(address) => socket.send(&datagram, address),
-                None => log::debug!("event=message_dropped to={vm} error=\"address unknown\""),
+        let send = |datagram: &PeerDatagram, vm: &VmId| match state.peers.address(vm) {
+            Some(address) => socket.send(datagram, address),
+            None => log::debug!("event=message_dropped to={vm} error=\"address unknown\""),
+        };
+        let copies = direct_copies(self.settings().capacity.link());
+        let (relays, last): (Vec<_>, Vec<_>) = divide_recipients(recipients, copies)
+            .into_iter()
+            .partition(|(_, relay_to)| !relay_to.is_empty());
+        if let Some(datagram) = socket.encode(&envelope).filter(|_| !last.is_empty()) {
+            for (vm, _) in &last {
+                send(&datagram, vm);
+            }
+        }
+        for (vm, relay_to) in relays {
+            envelope.relay_to = relay_to;
+            if let Some(datagram) = socket.encode(&envelope) {
+                send(&datagram, &vm);
             }
         }
     }
@@ -245,7 +267,7 @@
         let Some(socket) = self.socket.get() else {
             return;
         };
-        let Some(datagram) = socket.encode(message) else {
+        let Some(datagram) = socket.encode_own(message) else {
             return;
         };
         let state = self.state.borrow();
--- a/crates/clementinepond_entry/src/peer/socket.rs
+++ b/crates/clementinepond_entry/src/peer/socket.rs
@@ -39,14 +39,19 @@
         }
     }
 
-    /// Encodes a message as a datagram; `None` with a log line if that fails.
-    pub(crate) fn encode(&self, message: PeerMessage) -> Option<PeerDatagram> {
-        let kind = TrafficKind::of(&message);
-        let envelope = PeerEnvelope {
+    /// Encodes a message of this VM as a datagram; `None` with a log line if that fails.
+    pub(crate) fn encode_own(&self, message: PeerMessage) -> Option<PeerDatagram> {
+        self.encode(&PeerEnvelope {
             from: self.me.clone(),
+            relay_to: Vec::new(),
             message,
-        };
-        match postcard::to_allocvec(&envelope) {
+        })
+    }
+
+    /// Encodes a message as a datagram; `None` with a log line if that fails.
+    pub(crate) fn encode(&self, envelope: &PeerEnvelope) -> Option<PeerDatagram> {
+        let kind = TrafficKind::of(&envelope.message);
+        match postcard::to_allocvec(envelope) {
             Ok(bytes) if bytes.len() <= DATAGRAM_LIMIT_BYTES => Some(PeerDatagram { bytes, kind }),
             Ok(bytes) => {
                 log::error!("event=message_too_large bytes={}", bytes.len());
@@ -111,6 +116,9 @@
     if from == socket.me {
         return;
     }
+    if !envelope.relay_to.is_empty() {
+        node.relay(from.clone(), envelope.message.clone(), envelope.relay_to);
+    }
     let now = BootClock::now();
     match envelope.message {
         PeerMessage::Heartbeat(heartbeat) => {
@@ -167,7 +175,7 @@
         node.flush_runs(now);
         number += 1;
         let heartbeat = node.own_heartbeat(number, now);
-        if let Some(datagram) = socket.encode(PeerMessage::Heartbeat(Box::new(heartbeat))) {
+        if let Some(datagram) = socket.encode_own(PeerMessage::Heartbeat(Box::new(heartbeat))) {
             for peer in peers {
                 socket.send(&datagram, peer);
             }
--- a/crates/clementinepond_entry/src/placement_lease/order_task.rs
+++ b/crates/clementinepond_entry/src/placement_lease/order_task.rs
@@ -190,7 +190,8 @@
         self.next_update_at = now + UPDATE_INTERVAL;
         update.number = self.number;
         node.apply_placement(update.clone(), None, now);
-        node.broadcast(PeerMessage::Placement(Box::new(update)));
+        let recipients = node.state.borrow().peers.recipients(None, now);
+        node.send_through_relays(PeerMessage::Placement(Box::new(update)), recipients);
     }
 }
 
