--- a/crates/clementinepond_dispatch/src/peer/message.rs
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -180,6 +180,13 @@
         /// Version of the configuration.
         version: u64,
     },
+    /// Message that the receiver applies and forwards.
+    Relayed {
+        /// VMs to which the receiver forwards the message.
+        relay_to: Vec<VmId>,
+        /// Content.
+        message: Box<PeerMessage>,
+    },
 }
 
 /// Change to an endpoint's entry in the store.
@@ -205,10 +212,8 @@
 /// Message with its sender.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PeerEnvelope {
-    /// VM that the message is from, also if another one forwards it.
+    /// VM that the message is from, also when another one forwards it.
     pub from: VmId,
-    /// VMs to which the receiver forwards the message.
-    pub relay_to: Vec<VmId>,
     /// Content.
     pub message: PeerMessage,
 }
--- a/crates/clementinepond_entry/src/node/peers.rs
+++ b/crates/clementinepond_entry/src/node/peers.rs
@@ -2,7 +2,6 @@
 
 use super::EntryNode;
 use crate::clock::BootClock;
-use crate::peer::PeerDatagram;
 use crate::store::WatchTarget;
 use clementinepond_dispatch::lease::LeaseEvent;
 use clementinepond_dispatch::load::NameHash;
@@ -235,30 +234,34 @@
         let Some(socket) = self.socket.get() else {
             return;
         };
-        let mut envelope = PeerEnvelope {
-            from,
-            relay_to: Vec::new(),
-            message,
-        };
         let state = self.state.borrow();
-        let send = |datagram: &PeerDatagram, vm: &VmId| match state.peers.address(vm) {
-            Some(address) => socket.send(datagram, address),
-            None => log::debug!("event=message_dropped to={vm} error=\"address unknown\""),
+        let send = |message: PeerMessage, vms: &[VmId]| {
+            let envelope = PeerEnvelope {
+                from: from.clone(),
+                message,
+            };
+            let Some(datagram) = socket.encode(&envelope) else {
+                return;
+            };
+            for vm in vms {
+                match state.peers.address(vm) {
+                    Some(address) => socket.send(&datagram, address),
+                    None => log::debug!("event=message_dropped to={vm} error=\"address unknown\""),
+                }
+            }
         };
         let copies = direct_copies(self.settings().capacity.link());
-        let (relays, last): (Vec<_>, Vec<_>) = divide_recipients(recipients, copies)
-            .into_iter()
-            .partition(|(_, relay_to)| !relay_to.is_empty());
-        if let Some(datagram) = socket.encode(&envelope).filter(|_| !last.is_empty()) {
-            for (vm, _) in &last {
-                send(&datagram, vm);
+        let mut last = Vec::new();
+        for (vm, relay_to) in divide_recipients(recipients, copies) {
+            if relay_to.is_empty() {
+                last.push(vm);
+                continue;
             }
+            let message = Box::new(message.clone());
+            send(PeerMessage::Relayed { relay_to, message }, &[vm]);
         }
-        for (vm, relay_to) in relays {
-            envelope.relay_to = relay_to;
-            if let Some(datagram) = socket.encode(&envelope) {
-                send(&datagram, &vm);
-            }
+        if !last.is_empty() {
+            send(message, &last);
         }
     }
 
--- a/crates/clementinepond_entry/src/peer/mod.rs
+++ b/crates/clementinepond_entry/src/peer/mod.rs
@@ -7,5 +7,5 @@
 
 pub(crate) use fetch::{fetch_newer_configuration, fetch_newer_entries};
 pub(crate) use snapshot::serve_snapshots;
-pub(crate) use socket::{PeerDatagram, PeerSocket, run_heartbeats, run_receiver};
+pub(crate) use socket::{PeerSocket, run_heartbeats, run_receiver};
 pub(crate) use traffic::TrafficKind;
--- a/crates/clementinepond_entry/src/peer/socket.rs
+++ b/crates/clementinepond_entry/src/peer/socket.rs
@@ -43,7 +43,6 @@
     pub(crate) fn encode_own(&self, message: PeerMessage) -> Option<PeerDatagram> {
         self.encode(&PeerEnvelope {
             from: self.me.clone(),
-            relay_to: Vec::new(),
             message,
         })
     }
@@ -116,9 +115,6 @@
     if from == socket.me {
         return;
     }
-    if !envelope.relay_to.is_empty() {
-        node.relay(from.clone(), envelope.message.clone(), envelope.relay_to);
-    }
     let now = BootClock::now();
     match envelope.message {
         PeerMessage::Heartbeat(heartbeat) => {
@@ -133,6 +129,17 @@
             model,
             adapter,
         } => node.apply_adapter_wanted(&from, &endpoint, &model, &adapter, now),
+        PeerMessage::Relayed { relay_to, message } => {
+            node.relay(from.clone(), (*message).clone(), relay_to);
+            let message = *message;
+            apply(
+                node,
+                socket,
+                PeerEnvelope { from, message },
+                address,
+                started_at,
+            );
+        }
         PeerMessage::Configuration {
             incarnation,
             version,
--- a/crates/clementinepond_entry/src/peer/traffic.rs
+++ b/crates/clementinepond_entry/src/peer/traffic.rs
@@ -38,6 +38,7 @@
             PeerMessage::Runs(_) => Self::Runs,
             PeerMessage::Entries(_) => Self::Entries,
             PeerMessage::Placement(_) => Self::Placement,
+            PeerMessage::Relayed { message, .. } => Self::of(message),
             PeerMessage::AdapterWanted { .. }
             | PeerMessage::AdapterReady(_)
             | PeerMessage::Crash { .. }
