--- a/crates/clementinepond/tests/entry/peer_updates.rs
+++ b/crates/clementinepond/tests/entry/peer_updates.rs
@@ -1,7 +1,8 @@
 //! Configurations that a VM learns from its peers, and tells them.
 
 use crate::fake_peers::{FakePeers, PEERS, PeerClaim};
-use crate::support::{Deployment, EntryProcess, configuration, wait_until};
+use crate::support::{Deployment, EntryProcess, call_to, configuration, expect_answer, wait_until};
+use clementinepond_platform_standin::send_call;
 
 async fn start(claim: PeerClaim) -> (Deployment, EntryProcess, FakePeers) {
     let deployment = Deployment::start(1).await;
@@ -68,3 +69,21 @@
     .await;
     wait_until("the peers hear of it", || peers.has_heard(9)).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_route_is_not_denied_while_peer_has_newer_configuration() {
+    let claim = PeerClaim {
+        directory: 0,
+        link_mbps: 1_000,
+    };
+    let (_deployment, entry, peers) = start(claim).await;
+    let call = || send_call(entry.callers, call_to("/added/", None));
+    assert_eq!(expect_answer(call().await).0, 404);
+    // The store still holds the version that the VM has.
+    peers.claim_configuration(9);
+    wait_until("the VM asks a peer for the configuration", || {
+        peers.is_asked_for_configuration()
+    })
+    .await;
+    assert_eq!(expect_answer(call().await).0, 503);
+}
--- a/crates/clementinepond_entry/src/caller/admission.rs
+++ b/crates/clementinepond_entry/src/caller/admission.rs
@@ -142,8 +142,8 @@
     };
     match table.route(host, parts.uri.path()) {
         Some(route) => Ok(route),
-        // Without contact to the store the route may exist in a newer configuration.
-        None if !node.has_store(now) => Err(LocalAnswer::NotRun(
+        // The route may exist in a newer configuration.
+        None if node.may_be_outdated(now) => Err(LocalAnswer::NotRun(
             "configuration_stale",
             STARTING_RETRY_DELAY,
         )),
@@ -166,10 +166,9 @@
     match table.check_key(route, digest.as_ref()) {
         KeyCheck::Account(id) => Ok(Some(id.clone())),
         KeyCheck::Open => Ok(None),
-        KeyCheck::Unknown if digest.is_some() && !node.has_store(now) => Err(LocalAnswer::NotRun(
-            "configuration_stale",
-            STARTING_RETRY_DELAY,
-        )),
+        KeyCheck::Unknown if digest.is_some() && node.may_be_outdated(now) => Err(
+            LocalAnswer::NotRun("configuration_stale", STARTING_RETRY_DELAY),
+        ),
         KeyCheck::Unknown => Err(LocalAnswer::BadKey),
     }
 }
--- a/crates/clementinepond_entry/src/node/fleet_state.rs
+++ b/crates/clementinepond_entry/src/node/fleet_state.rs
@@ -360,8 +360,14 @@
         self.state.borrow_mut().store_answered_at = now;
     }
 
+    /// Returns whether there may be a newer configuration than this VM's: a peer has one,
+    /// or the store has answered neither this VM nor a live peer recently.
+    pub(crate) fn may_be_outdated(&self, now: LocalTime) -> bool {
+        self.state.borrow().newer_configuration_since.is_some() || !self.has_store(now)
+    }
+
     /// Returns whether the store recently answered this VM or a live peer.
-    pub(crate) fn has_store(&self, now: LocalTime) -> bool {
+    fn has_store(&self, now: LocalTime) -> bool {
         let state = self.state.borrow();
         let is_fresh = |age: TimeSpan| age < STORE_CONTACT_MAX_AGE;
         is_fresh(now.since(state.store_answered_at))
