--- a/crates/clementinepond_dispatch/src/directory/mod.rs
+++ b/crates/clementinepond_dispatch/src/directory/mod.rs
@@ -17,12 +17,9 @@
 /// Time for which an endpoint that is no longer listed stays usable; less than the two
 /// seconds after which the platform requires that a leaving endpoint gets no requests.
 const UNLISTED_GRACE: TimeSpan = TimeSpan::from_millis(1_200);
-/// Time for which an endpoint stays usable that is found unlisted shortly after an
-/// outage of the store. Entries reappear within two seconds of its return, or their
-/// endpoints are gone.
-const OUTAGE_UNLISTED_GRACE: TimeSpan = TimeSpan::from_millis(2_200);
-/// Time after an outage of the store in which a missing entry may still reappear.
-const OUTAGE_RECOVERY_WINDOW: TimeSpan = TimeSpan::from_secs(3);
+/// Time after an outage of the store in which an endpoint that is not listed stays usable.
+/// Entries reappear within two seconds of the store's return, or their endpoints are gone.
+const OUTAGE_RECOVERY_DURATION: TimeSpan = TimeSpan::from_millis(2_200);
 
 /// Whether an endpoint is listed in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -119,18 +116,14 @@
 
     /// Marks an endpoint as no longer listed.
     pub fn remove(&mut self, id: &EndpointId, now: LocalTime) {
-        let is_after_outage = self
+        let recovered_at = self
             .store_returned_at
-            .is_some_and(|at| now.since(at) < OUTAGE_RECOVERY_WINDOW);
-        let grace = if is_after_outage {
-            OUTAGE_UNLISTED_GRACE
-        } else {
-            UNLISTED_GRACE
-        };
+            .map_or(now, |at| at + OUTAGE_RECOVERY_DURATION);
+        let until = recovered_at.max(now + UNLISTED_GRACE);
         if let Some(known) = self.endpoints.get_mut(id)
             && known.presence == Presence::Listed
         {
-            known.presence = Presence::Unlisted(now + grace);
+            known.presence = Presence::Unlisted(until);
         }
     }
 
--- a/crates/clementinepond_dispatch/tests/directory.rs
+++ b/crates/clementinepond_dispatch/tests/directory.rs
@@ -51,6 +51,17 @@
     assert_eq!(usable(&directory, 3_000), 0);
 }
 
+#[test]
+fn endpoint_removed_seconds_after_outage_is_unusable_after_two_seconds() {
+    for removed_at in [6_500, 7_000, 7_900] {
+        let mut directory = EndpointDirectory::default();
+        directory.update(entry("e1", &[]), at(0));
+        directory.record_store_return(at(5_000));
+        directory.remove(&"e1".parse().unwrap(), at(removed_at));
+        assert_eq!(usable(&directory, removed_at + 2_000), 0);
+    }
+}
+
 #[test]
 fn endpoint_with_removal_notice_is_unusable() {
     let mut directory = EndpointDirectory::default();
