--- a/crates/clementinepond_entry/src/node/peers.rs
+++ b/crates/clementinepond_entry/src/node/peers.rs
@@ -88,7 +88,7 @@
             }
         }
         drop(guard);
-        self.notify_newer_configuration(configuration, now);
+        self.record_peer_version(configuration, now);
     }
 
     /// Applies a peer's announcement that it has a version of the configuration.
@@ -104,11 +104,12 @@
             .peers
             .record_configuration(from, incarnation, version, now);
         drop(state);
-        self.notify_newer_configuration(version, now);
+        self.record_peer_version(version, now);
     }
 
-    /// Wakes the tasks that wait for a peer to be ahead.
-    fn notify_newer_configuration(&self, version: u64, now: LocalTime) {
+    /// Records that a peer has a version of the configuration, and wakes the tasks that wait
+    /// for a peer to be ahead.
+    fn record_peer_version(&self, version: u64, now: LocalTime) {
         let mut state = self.state.borrow_mut();
         if version > state.configuration_version() {
             state.newer_configuration_since.get_or_insert(now);
