--- a/crates/clementinepond/tests/entry/peer_updates.rs
+++ b/crates/clementinepond/tests/entry/peer_updates.rs
@@ -3,6 +3,7 @@
 use crate::fake_peers::{FakePeers, PEERS, PeerClaim};
 use crate::support::{Deployment, EntryProcess, call_to, configuration, expect_answer, wait_until};
 use clementinepond_platform_standin::send_call;
+use std::time::Duration;
 
 async fn start(claim: PeerClaim) -> (Deployment, EntryProcess, FakePeers) {
     let deployment = Deployment::start(1).await;
@@ -40,6 +41,22 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn large_configuration_over_narrow_link_is_read_completely() {
+    let claim = PeerClaim {
+        directory: 0,
+        link_mbps: 1_000,
+    };
+    let (deployment, entry, peers) = start(claim).await;
+    deployment.store.slow_reads(Duration::from_secs(2));
+    deployment.store.put("config", "main", configuration(9));
+    peers.claim_configuration(9);
+    wait_until("the VM applies the configuration", || {
+        entry.has_logged("event=configuration_applied version=9")
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn announced_configuration_is_applied_without_heartbeat() {
     let claim = PeerClaim {
--- a/crates/clementinepond_entry/src/http/call.rs
+++ b/crates/clementinepond_entry/src/http/call.rs
@@ -1,16 +1,20 @@
 //! Small HTTP calls with a timeout, on a connection that is kept alive.
 
 use super::{Connection, open_connection};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use clementinepond_types::TimeSpan;
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use std::net::SocketAddrV4;
 
 /// Maximum size of an answer; a page of a list is about a megabyte.
 const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+/// Maximum pause within the body of an answer. Only pauses are limited, since a large body
+/// takes long over a narrow link.
+const MAX_BODY_PAUSE: TimeSpan = TimeSpan::from_millis(700);
 /// Maximum time for opening a connection.
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
 
@@ -23,7 +27,7 @@
     /// The connection was lost, or the answer exceeds [`ANSWER_LIMIT_BYTES`].
     #[display("connection lost before the answer was complete; the call may have been executed")]
     Broken,
-    /// No complete answer arrived within the timeout.
+    /// The answer, or the next part of it, did not arrive within the timeout.
     #[display("no complete answer within the timeout; the call may have been executed")]
     Timeout,
 }
@@ -58,7 +62,7 @@
     /// Sends a request with a JSON body and reads the answer.
     ///
     /// `timeout` applies separately to each step: checking a kept connection, opening a new
-    /// one, and the call itself.
+    /// one, the head of the answer, and each pause within its body.
     pub(crate) async fn call(
         &mut self,
         method: Method,
@@ -91,32 +95,42 @@
         request
             .headers_mut()
             .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        let call = async {
-            let response = connection
-                .sender
-                .send_request(request)
-                .await
-                .map_err(|error| {
-                    if error.is_canceled() {
-                        CallFailure::NotSent
-                    } else {
-                        CallFailure::Broken
-                    }
-                })?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES)
-                .collect()
-                .await
-                .map_err(|_| CallFailure::Broken)?
-                .to_bytes();
-            Ok(CallReply { status, body })
-        };
-        let reply = tokio::time::timeout(timeout.duration(), call)
+        let sent = connection.sender.send_request(request);
+        let response = tokio::time::timeout(timeout.duration(), sent)
             .await
-            .map_err(|_| CallFailure::Timeout)??;
+            .map_err(|_| CallFailure::Timeout)?
+            .map_err(|error| {
+                if error.is_canceled() {
+                    CallFailure::NotSent
+                } else {
+                    CallFailure::Broken
+                }
+            })?;
+        let status = response.status();
+        let body = read_body(response.into_body(), timeout.min(MAX_BODY_PAUSE)).await?;
         // The connection is kept only after a complete answer, so that a late answer is
         // never read as that of another call.
         self.connection = Some(connection);
-        Ok(reply)
+        Ok(CallReply { status, body })
+    }
+}
+
+/// Reads a body whose parts arrive with pauses of at most `pause`.
+async fn read_body(body: Incoming, pause: TimeSpan) -> Result<Bytes, CallFailure> {
+    let mut body = Limited::new(body, ANSWER_LIMIT_BYTES);
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(pause.duration(), body.frame())
+            .await
+            .map_err(|_| CallFailure::Timeout)?;
+        match frame {
+            None => return Ok(bytes.freeze()),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    bytes.extend_from_slice(&data);
+                }
+            }
+            Some(Err(_)) => return Err(CallFailure::Broken),
+        }
     }
 }
--- a/crates/clementinepond_entry/src/peer/fetch.rs
+++ b/crates/clementinepond_entry/src/peer/fetch.rs
@@ -26,11 +26,12 @@
 const READ_SPREAD: TimeSpan = TimeSpan::from_millis(150);
 /// Maximum number of times that the spread is doubled.
 const MAX_DOUBLINGS: u32 = 4;
-/// Time after a failed read of the store in which peers are asked first.
+/// Time after a failed read of the store in which peers are asked instead, as long as one
+/// of them serves the configuration.
 const STORE_AVOIDANCE: TimeSpan = TimeSpan::from_secs(2);
-/// Timeout of a read of the store; peers have the configuration too.
-const READ_TIMEOUT: TimeSpan = TimeSpan::from_millis(400);
-/// Timeout of a snapshot request.
+/// Timeout for the start of the store's answer, after which peers are asked.
+const READ_TIMEOUT: TimeSpan = TimeSpan::from_millis(600);
+/// Timeout for the start of the answer to a snapshot request.
 const SNAPSHOT_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
 /// Number of peers from which a snapshot is requested in turn.
 const MAX_SOURCES: usize = 3;
@@ -67,7 +68,9 @@
             let is_read = read_configuration(&node, &mut client).await;
             store_failed_at = (!is_read).then(BootClock::now);
         }
-        fetch_from_peers(&node, WatchTarget::Configuration).await;
+        if !fetch_from_peers(&node, WatchTarget::Configuration).await {
+            store_failed_at = None;
+        }
         failures = if node.state.borrow().configuration_version() > before {
             0
         } else {
@@ -95,36 +98,34 @@
 /// Reads the configuration from the store; returns whether the store answered.
 async fn read_configuration(node: &EntryNode, client: &mut StoreClient) -> bool {
     increment(&node.stats.store_calls);
-    let read = client.read(CONFIGURATION_KIND, CONFIGURATION_NAME);
-    match tokio::time::timeout(READ_TIMEOUT.duration(), read).await {
-        Ok(Ok(Some(object))) => {
+    let read = client.read_within(CONFIGURATION_KIND, CONFIGURATION_NAME, READ_TIMEOUT);
+    match read.await {
+        Ok(Some(object)) => {
             node.apply_configuration(&object.spec, object.revision, "store");
             true
         }
-        Ok(Ok(None)) => true,
-        Ok(Err(error)) => {
+        Ok(None) => true,
+        Err(error) => {
             log::info!("event=configuration_unread error=\"{error}\"");
             false
         }
-        Err(_) => {
-            log::info!("event=configuration_unread error=\"no answer within {READ_TIMEOUT}\"");
-            false
-        }
     }
 }
 
-/// Requests a snapshot from peers that are ahead, in turn until one serves it.
-async fn fetch_from_peers(node: &EntryNode, target: WatchTarget) {
+/// Requests a snapshot from peers that are ahead, in turn until one serves it; returns
+/// whether one did.
+async fn fetch_from_peers(node: &EntryNode, target: WatchTarget) -> bool {
     let mut asked = Vec::new();
     while asked.len() < MAX_SOURCES
         && let Some((vm, address)) = node.newer_peer(target, &asked, BootClock::now())
     {
         if let Some(snapshot) = fetch(node, target, address).await {
             apply(node, snapshot, address);
-            return;
+            return true;
         }
         asked.push(vm);
     }
+    false
 }
 
 async fn fetch(
--- a/crates/clementinepond_entry/src/store/client.rs
+++ b/crates/clementinepond_entry/src/store/client.rs
@@ -111,7 +111,18 @@
         kind: &str,
         name: &str,
     ) -> Result<Option<StoreObject>, StoreFailure> {
-        match self.get(&object_path(kind, name), CALL_TIMEOUT).await {
+        self.read_within(kind, name, CALL_TIMEOUT).await
+    }
+
+    /// Reads an object, with a timeout for the start of the answer; `None` if it does not
+    /// exist.
+    pub(crate) async fn read_within(
+        &mut self,
+        kind: &str,
+        name: &str,
+        timeout: TimeSpan,
+    ) -> Result<Option<StoreObject>, StoreFailure> {
+        match self.get(&object_path(kind, name), timeout).await {
             Ok(body) => read_object(&body)
                 .map(Some)
                 .map_err(|_| StoreFailure::Malformed),
