--- a/crates/clementinepond_dispatch/src/peer/mod.rs
+++ b/crates/clementinepond_dispatch/src/peer/mod.rs
@@ -1,10 +1,12 @@
 //! Messages between VMs and the table of peers.
 
+mod fetch_schedule;
 mod link_budget;
 mod message;
 mod peer_table;
 mod relay;
 
+pub use fetch_schedule::FetchSchedule;
 pub use link_budget::LinkBudget;
 pub use message::{
     AccountUsage, AdapterLocation, EntryChange, EntryUpdate, ModelDemand, PeerEnvelope,
--- a/crates/clementinepond_entry/src/peer/fetch.rs
+++ b/crates/clementinepond_entry/src/peer/fetch.rs
@@ -9,8 +9,9 @@
 use crate::http::HttpClient;
 use crate::node::{EntryNode, increment};
 use crate::store::{StoreClient, WatchTarget};
+use clementinepond_dispatch::peer::FetchSchedule;
 use clementinepond_platform::{CONFIGURATION_KIND, CONFIGURATION_NAME, StoreObject};
-use clementinepond_types::{LocalTime, TimeSpan};
+use clementinepond_types::TimeSpan;
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
 use rand::RngExt;
@@ -18,17 +19,9 @@
 use std::rc::Rc;
 use tokio_util::sync::CancellationToken;
 
-/// Minimum delay, doubled at most by jitter, for this VM's own watch or a forwarded change
-/// to arrive before a peer is asked.
-const OWN_WATCH_DELAY: TimeSpan = TimeSpan::from_millis(200);
-/// Time over which the VMs spread their reads of a new configuration; doubled by each
-/// further fetch in a row that leaves the VM behind.
-const READ_SPREAD: TimeSpan = TimeSpan::from_millis(150);
-/// Maximum number of times that the spread is doubled.
-const MAX_DOUBLINGS: u32 = 4;
-/// Time after a failed read of the store in which peers are asked instead, as long as one
-/// of them serves the configuration.
-const STORE_AVOIDANCE: TimeSpan = TimeSpan::from_secs(2);
+/// Minimum delay, doubled at most by jitter, for a forwarded change or this VM's own watch
+/// to arrive before a peer is asked for entries.
+const ENTRIES_DELAY: TimeSpan = TimeSpan::from_millis(200);
 /// Timeout for the start of the store's answer, after which peers are asked.
 const READ_TIMEOUT: TimeSpan = TimeSpan::from_millis(600);
 /// Timeout for the start of the answer to a snapshot request.
@@ -39,43 +32,28 @@
 /// Fetches the configuration whenever a peer has a newer one, until the VM stops.
 pub(crate) async fn fetch_newer_configuration(node: Rc<EntryNode>, stop: CancellationToken) {
     let mut client = StoreClient::new(node.settings().store.address);
-    let mut store_failed_at: Option<LocalTime> = None;
-    let mut failures = 0;
+    let mut schedule = FetchSchedule::default();
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
             () = node.peer_updated.notified() => {}
         }
         if !node.is_peer_ahead(WatchTarget::Configuration) {
-            failures = 0;
+            schedule.record_current();
             continue;
         }
-        let jitter = rand::rng().random_range(0..100);
-        let is_watcher = node.is_watcher(BootClock::now());
-        let own_delay = if is_watcher {
-            OWN_WATCH_DELAY
-        } else {
-            TimeSpan::ZERO
-        };
-        let spread = READ_SPREAD.fraction(1 << failures, 1);
-        let delay = own_delay + spread.fraction(jitter, 100);
-        tokio::time::sleep(delay.duration()).await;
-        let before = node.state.borrow().configuration_version();
         let now = BootClock::now();
-        let avoids_store = store_failed_at.is_some_and(|at| now.since(at) < STORE_AVOIDANCE);
-        if !is_watcher && !avoids_store {
-            // The store has more bandwidth than a peer.
-            let is_read = read_configuration(&node, &mut client).await;
-            store_failed_at = (!is_read).then(BootClock::now);
-        }
-        if !fetch_from_peers(&node, WatchTarget::Configuration).await {
-            store_failed_at = None;
+        let is_watcher = node.is_watcher(now);
+        let draw = rand::rng().random_range(0..1_000);
+        tokio::time::sleep(schedule.delay(is_watcher, draw, now).duration()).await;
+        let before = node.state.borrow().configuration_version();
+        let asks_store = schedule.start(is_watcher, BootClock::now());
+        if asks_store && !read_configuration(&node, &mut client).await {
+            schedule.record_store_failure(BootClock::now());
         }
-        failures = if node.state.borrow().configuration_version() > before {
-            0
-        } else {
-            (failures + 1).min(MAX_DOUBLINGS)
-        };
+        let is_served = fetch_from_peers(&node, WatchTarget::Configuration).await;
+        let is_newer = node.state.borrow().configuration_version() > before;
+        schedule.finish(is_served, is_newer, BootClock::now());
     }
 }
 
@@ -90,7 +68,7 @@
             continue;
         }
         let jitter = rand::rng().random_range(100..200);
-        tokio::time::sleep(OWN_WATCH_DELAY.fraction(jitter, 100).duration()).await;
+        tokio::time::sleep(ENTRIES_DELAY.fraction(jitter, 100).duration()).await;
         fetch_from_peers(&node, WatchTarget::Endpoints).await;
     }
 }
