--- a/crates/clementinepond/src/command/entry_log_event.rs
+++ b/crates/clementinepond/src/command/entry_log_event.rs
@@ -201,7 +201,7 @@
     ),
     event(
         "request_ended",
-        "request route service model account endpoint outcome status reason endpoints waited_ms predicted_ms first_ms pause_ms duration_ms configuration",
+        "request route service model account endpoint outcome status reason endpoints waited_ms framing predicted_ms first_ms pause_ms open_event_bytes duration_ms configuration",
         "a request ended",
     ),
     event(
--- a/crates/clementinepond_dispatch/src/lib.rs
+++ b/crates/clementinepond_dispatch/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod placement;
 pub mod quota;
 pub mod select;
+pub mod stream;
 pub mod suspect;
 pub mod table;
--- a/crates/clementinepond_entry/src/caller/request_end.rs
+++ b/crates/clementinepond_entry/src/caller/request_end.rs
@@ -3,6 +3,7 @@
 use super::admission::AdmittedRequest;
 use crate::clock::BootClock;
 use crate::node::{EntryNode, increment};
+use clementinepond_dispatch::stream::BodyFraming;
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
 use derive_more::Display;
 
@@ -15,25 +16,29 @@
     pub(super) sent_at: LocalTime,
     /// Number of endpoints that the request was sent to.
     pub(super) sent: u32,
-    /// Times of the stream; `None` for an answer that is no stream.
-    pub(super) timing: Option<StreamTiming>,
+    /// Framing of the last answer.
+    pub(super) framing: BodyFraming,
+    /// Course of the stream; `None` for an answer that is no stream.
+    pub(super) stream: Option<StreamRecord>,
 }
 
-/// Predicted and measured times of a stream.
+/// Course of a stream.
 #[derive(Debug, Display, Clone, Copy)]
 #[display(
-    "predicted_ms={} first_ms={} pause_ms={}",
+    "predicted_ms={} first_ms={} pause_ms={} open_event_bytes={open_event_bytes}",
     predicted.millis(),
     first_chunk.map_or(-1, |first_chunk| i64::try_from(first_chunk.millis()).unwrap_or(i64::MAX)),
     longest_pause.millis()
 )]
-pub(super) struct StreamTiming {
+pub(super) struct StreamRecord {
     /// Time to the first token, as predicted when the engine was chosen.
     pub(super) predicted: TimeSpan,
     /// Time from sending to the first chunk.
     pub(super) first_chunk: Option<TimeSpan>,
     /// Longest time between two chunks.
     pub(super) longest_pause: TimeSpan,
+    /// Number of bytes of the last answer after its last complete event.
+    pub(super) open_event_bytes: usize,
 }
 
 impl RequestEnd<'_> {
@@ -48,7 +53,7 @@
         let now = BootClock::now();
         let target = request.profile.target.as_ref();
         log::info!(
-            "event=request_ended request={} route={} service={} model={} account={} endpoint={} outcome={} status={} endpoints={} waited_ms={}{} duration_ms={} configuration={}",
+            "event=request_ended request={} route={} service={} model={} account={} endpoint={} outcome={} status={} endpoints={} waited_ms={} framing={}{} duration_ms={} configuration={}",
             request.profile.id.as_ref().map_or("-", |id| id.as_str()),
             request.route.name,
             request.service,
@@ -59,8 +64,9 @@
             self.status,
             self.sent,
             self.sent_at.since(request.arrival).millis(),
-            self.timing
-                .map_or_else(String::new, |timing| format!(" {timing}")),
+            self.framing,
+            self.stream
+                .map_or_else(String::new, |stream| format!(" {stream}")),
             now.since(request.arrival).millis(),
             request.table.policy().version,
         );
--- a/crates/clementinepond_entry/src/caller/stream.rs
+++ b/crates/clementinepond_entry/src/caller/stream.rs
@@ -6,12 +6,13 @@
 use super::endpoint_search::{EndpointSearch, StartedAnswer};
 use super::event_reader::EventReader;
 use super::local_answer::LocalAnswer;
-use super::request_end::{RequestEnd, StreamTiming};
+use super::request_end::{RequestEnd, StreamRecord};
 use super::unary::{ReadFailure, caller_headers, read_complete};
 use crate::clock::BootClock;
 use crate::node::{EntryNode, PickedEndpoint};
 use bytes::Bytes;
 use clementinepond_dispatch::health::EndpointOutcome;
+use clementinepond_dispatch::stream::EventScanner;
 use clementinepond_types::{LocalTime, TimeSpan};
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -41,11 +42,13 @@
         search,
         chunks,
         events: EventReader::default(),
+        scanner: EventScanner::default(),
         has_started: false,
-        timing: StreamTiming {
+        record: StreamRecord {
             predicted: started.picked.predicted,
             first_chunk: None,
             longest_pause: TimeSpan::ZERO,
+            open_event_bytes: 0,
         },
     };
     tokio::task::spawn_local(relay.run(started));
@@ -65,6 +68,7 @@
     let status = started.answer.response.status();
     let id = started.picked.id.clone();
     let sent_at = started.sent_at;
+    let framing = started.answer.framing;
     match read_complete(node, request, started.answer, started.picked).await {
         Ok((headers, body)) => {
             let end = RequestEnd {
@@ -73,7 +77,8 @@
                 outcome: "answered",
                 sent_at,
                 sent: search.sent(),
-                timing: None,
+                framing,
+                stream: None,
             };
             end.record(node, request);
             let mut response = Response::new(AnswerBody::complete(body));
@@ -119,9 +124,10 @@
     chunks: mpsc::Sender<Result<Bytes, BrokenAnswer>>,
     /// Incomplete event of a stream that may be resumed.
     events: EventReader,
+    scanner: EventScanner,
     /// Whether the first chunk of the first answer has arrived.
     has_started: bool,
-    timing: StreamTiming,
+    record: StreamRecord,
 }
 
 impl StreamRelay {
@@ -131,6 +137,7 @@
         loop {
             let id = current.picked.id.clone();
             let sent_at = current.sent_at;
+            let framing = current.answer.framing;
             let (picked, end) = self.relay(current).await;
             let sent = self.search.sent();
             match end {
@@ -152,7 +159,8 @@
                 outcome: end.name(),
                 sent_at,
                 sent,
-                timing: Some(self.timing),
+                framing,
+                stream: Some(self.record),
             };
             request_end.record(&self.node, &self.request);
             if matches!(end, RelayEnd::Broken | RelayEnd::TimedOut) {
@@ -188,7 +196,9 @@
             sent_at,
         } = started;
         let mut body = answer.response.into_body();
+        self.scanner = EventScanner::default();
         let end = self.copy_body(&mut body, &picked, sent_at).await;
+        self.record.open_event_bytes = self.scanner.open_event_bytes();
         if end == RelayEnd::Complete {
             answer.connection.finish(&self.node);
         }
@@ -225,9 +235,10 @@
                 None => self.record_first_chunk(picked, sent_at, now),
                 Some(before) => {
                     let pause = now.since(before);
-                    self.timing.longest_pause = self.timing.longest_pause.max(pause);
+                    self.record.longest_pause = self.record.longest_pause.max(pause);
                 }
             }
+            self.scanner.scan(&chunk);
             let Some(chunk) = self.complete_events(chunk) else {
                 continue;
             };
@@ -267,7 +278,7 @@
     fn record_first_chunk(&mut self, picked: &PickedEndpoint, sent_at: LocalTime, now: LocalTime) {
         picked.guard.record_first_token();
         let measured = now.since(sent_at);
-        self.timing.first_chunk.get_or_insert(measured);
+        self.record.first_chunk.get_or_insert(measured);
         self.node
             .record_slowdown(&picked.id, picked.predicted, measured);
         if !std::mem::replace(&mut self.has_started, true) {
--- a/crates/clementinepond_entry/src/caller/unary.rs
+++ b/crates/clementinepond_entry/src/caller/unary.rs
@@ -34,6 +34,7 @@
         } = started;
         let status = answer.response.status();
         let id = picked.id.clone();
+        let framing = answer.framing;
         match read_complete(node, request, answer, picked).await {
             Ok((headers, body)) => {
                 let measured = BootClock::now().since(sent_at);
@@ -47,7 +48,8 @@
                     outcome: "answered",
                     sent_at,
                     sent: search.sent(),
-                    timing: None,
+                    framing,
+                    stream: None,
                 };
                 end.record(node, request);
                 let mut response = Response::new(AnswerBody::complete(body));
--- a/crates/clementinepond_entry/src/endpoint/attempt.rs
+++ b/crates/clementinepond_entry/src/endpoint/attempt.rs
@@ -5,14 +5,15 @@
 use crate::http::{ConnectFailure, Connection, open_connection};
 use crate::node::EntryNode;
 use bytes::Bytes;
+use clementinepond_dispatch::stream::BodyFraming;
 use clementinepond_platform::{
     AnswerHeaders, AttemptHeaders, read_answer, read_keep_alive, write_attempt_headers,
 };
 use clementinepond_types::{EndpointId, LocalTime, RequestId, TimeSpan};
 use derive_more::{Display, Error};
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, EXPECT, HeaderMap};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_LENGTH, EXPECT, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, Uri};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -49,6 +50,7 @@
 pub(crate) struct AttemptAnswer {
     pub(crate) response: Response<Incoming>,
     pub(crate) mark: AnswerHeaders,
+    pub(crate) framing: BodyFraming,
     pub(crate) connection: AnswerConnection,
 }
 
@@ -173,8 +175,26 @@
         closes,
     };
     Ok(AttemptAnswer {
+        framing: body_framing(&response),
         response,
         mark,
         connection,
     })
 }
+
+/// Returns the framing of an answer of which the head has arrived.
+fn body_framing(response: &Response<Incoming>) -> BodyFraming {
+    let codings = response.headers().get_all(TRANSFER_ENCODING);
+    let is_chunked = codings
+        .iter()
+        .next_back()
+        .and_then(|value| value.to_str().ok())
+        .is_some_and(|codings| codings.trim().to_ascii_lowercase().ends_with("chunked"));
+    if is_chunked {
+        BodyFraming::Chunks
+    } else if response.body().size_hint().exact().is_some() {
+        BodyFraming::Length
+    } else {
+        BodyFraming::Connection
+    }
+}
