--- a/crates/clementinepond_entry/src/caller/stream.rs
+++ b/crates/clementinepond_entry/src/caller/stream.rs
@@ -1,7 +1,7 @@
 //! Streaming answers, relayed to the caller as they arrive.
 
 use super::admission::{AdmittedRequest, is_resumable};
-use super::answer_body::{AnswerBody, BrokenAnswer};
+use super::answer_body::{AnswerBody, BodyPart};
 use super::crash_probe::suspect_crash;
 use super::endpoint_search::{EndpointSearch, StartedAnswer};
 use super::event_reader::EventReader;
@@ -20,8 +20,8 @@
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
-/// Maximum number of chunks buffered for a caller that reads slowly.
-const MAX_BUFFERED_CHUNKS: usize = 16;
+/// Maximum number of parts buffered for a caller that reads slowly.
+const MAX_BUFFERED_PARTS: usize = 16;
 
 /// Starts a stream and spawns the task that relays it.
 pub(super) async fn serve(
@@ -35,12 +35,12 @@
         return relay_error_answer(node, &request, &search, started).await;
     }
     let headers = caller_headers(started.answer.response.headers().clone());
-    let (chunks, body) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+    let (parts, body) = mpsc::channel(MAX_BUFFERED_PARTS);
     let relay = StreamRelay {
         node: Rc::clone(node),
         request,
         search,
-        chunks,
+        parts,
         events: EventReader::default(),
         scanner: EventScanner::default(),
         has_started: false,
@@ -52,7 +52,7 @@
         },
     };
     tokio::task::spawn_local(relay.run(started));
-    let mut response = Response::new(AnswerBody::Relayed(body));
+    let mut response = Response::new(AnswerBody::relayed(body));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     Ok(response)
@@ -121,7 +121,7 @@
     node: Rc<EntryNode>,
     request: Rc<AdmittedRequest>,
     search: EndpointSearch,
-    chunks: mpsc::Sender<Result<Bytes, BrokenAnswer>>,
+    parts: mpsc::Sender<BodyPart>,
     /// Incomplete event of a stream that may be resumed.
     events: EventReader,
     scanner: EventScanner,
@@ -163,9 +163,9 @@
                 stream: Some(self.record),
             };
             request_end.record(&self.node, &self.request);
-            if matches!(end, RelayEnd::Broken | RelayEnd::TimedOut) {
+            if end == RelayEnd::Complete {
                 // Sending fails only if the caller has disconnected.
-                let _ = self.chunks.send(Err(BrokenAnswer)).await;
+                let _ = self.parts.send(BodyPart::End).await;
             }
             return;
         }
@@ -181,7 +181,7 @@
         self.search.resume_after = self.events.last_id.or(self.search.resume_after);
         let search = self.search.run();
         let started = tokio::select! {
-            () = self.chunks.closed() => return None,
+            () = self.parts.closed() => return None,
             started = search => started.ok()?,
         };
         let is_success = started.answer.response.status().is_success();
@@ -218,7 +218,7 @@
         loop {
             let frame = tokio::select! {
                 biased;
-                () = self.chunks.closed() => return RelayEnd::CallerLeft,
+                () = self.parts.closed() => return RelayEnd::CallerLeft,
                 frame = body.frame() => frame,
                 () = deadline.as_mut() => return RelayEnd::TimedOut,
             };
@@ -243,7 +243,7 @@
                 continue;
             };
             let sent = tokio::select! {
-                sent = self.chunks.send(Ok(chunk)) => sent,
+                sent = self.parts.send(BodyPart::Data(chunk)) => sent,
                 () = deadline.as_mut() => return RelayEnd::TimedOut,
             };
             if sent.is_err() {
@@ -268,7 +268,7 @@
     /// Relays the remaining bytes after the end of the body.
     async fn finish(&mut self) -> RelayEnd {
         let remaining = self.events.take_remaining();
-        if !remaining.is_empty() && self.chunks.send(Ok(remaining)).await.is_err() {
+        if !remaining.is_empty() && self.parts.send(BodyPart::Data(remaining)).await.is_err() {
             return RelayEnd::CallerLeft;
         }
         RelayEnd::Complete
