--- a/crates/clementinepond_entry/src/caller/event_reader.rs
+++ b/crates/clementinepond_entry/src/caller/event_reader.rs
@@ -1,75 +1,77 @@
-//! Splitting of a stream into complete server-sent events.
+//! Reading of one answer of a stream of server-sent events.
 //!
 //! A stream that another endpoint may resume is relayed event by event, so that the caller
-//! does not receive part of an event twice.
+//! does not receive part of an event twice. Any other stream is relayed as it arrives.
 
 use bytes::{Bytes, BytesMut};
+use clementinepond_dispatch::stream::{BodyFraming, EventScanner};
 
 /// Size up to which an incomplete event is buffered; a larger one is relayed in parts.
 const EVENT_LIMIT_BYTES: usize = 1024 * 1024;
 
-/// Buffer of the incomplete event at the end of a stream.
-#[derive(Debug, Default)]
+/// Reader of one answer of a stream.
+#[derive(Debug)]
 pub(super) struct EventReader {
-    pending: BytesMut,
-    /// Number of pending bytes in which no event's end can start.
-    scanned: usize,
+    framing: BodyFraming,
+    scanner: EventScanner,
+    /// Bytes of the incomplete event; `None` for a stream that is relayed as it arrives.
+    pending: Option<BytesMut>,
+    /// Whether an event was complete.
+    has_event: bool,
     /// Identifier of the last complete event that has one.
     pub(super) last_id: Option<u64>,
 }
 
 impl EventReader {
-    /// Appends a chunk and returns the events that are complete now, if any.
-    pub(super) fn push(&mut self, chunk: &[u8]) -> Option<Bytes> {
-        self.pending.extend_from_slice(chunk);
-        let mut end = 0;
-        while let Some(length) = event_length(&self.pending[end..], self.scanned) {
-            if let Some(id) = event_id(&self.pending[end..end + length]) {
-                self.last_id = Some(id);
-            }
-            end += length;
-            self.scanned = 0;
+    pub(super) fn new(framing: BodyFraming, is_resumable: bool) -> Self {
+        Self {
+            framing,
+            scanner: EventScanner::default(),
+            pending: is_resumable.then(BytesMut::new),
+            has_event: false,
+            last_id: None,
         }
-        self.scanned = (self.pending.len() - end).saturating_sub(3);
-        (end > 0).then(|| self.pending.split_to(end).freeze())
     }
 
-    /// Returns whether the incomplete event is too large to be buffered.
-    pub(super) fn is_overlong(&self) -> bool {
-        self.pending.len() > EVENT_LIMIT_BYTES
-    }
-
-    /// Removes and returns the buffered bytes.
-    pub(super) fn take_remaining(&mut self) -> Bytes {
-        self.pending.split().freeze()
+    /// Reads a chunk and returns the bytes that may be relayed now, if any.
+    pub(super) fn push(&mut self, chunk: Bytes) -> Option<Bytes> {
+        let end = self.scanner.scan(&chunk);
+        self.has_event |= end.is_some();
+        let Some(pending) = &mut self.pending else {
+            return Some(chunk);
+        };
+        let before = pending.len();
+        pending.extend_from_slice(&chunk);
+        if let Some(end) = end {
+            let events = pending.split_to(before + end).freeze();
+            self.last_id = last_event_id(&events).or(self.last_id);
+            return Some(events);
+        }
+        (pending.len() > EVENT_LIMIT_BYTES).then(|| pending.split().freeze())
     }
 
-    /// Drops the incomplete event after which a stream was interrupted.
-    pub(super) fn drop_partial(&mut self) {
-        self.pending.clear();
-        self.scanned = 0;
+    /// Returns the bytes that remain to be relayed after the end of the body, or `None` if
+    /// the stream is truncated although its body ended without an error.
+    pub(super) fn finish(&mut self) -> Option<Bytes> {
+        // The connection of an endpoint that failed before the first event ends like that
+        // of an empty stream.
+        let may_be_empty = self.framing != BodyFraming::Connection;
+        let is_complete = self.scanner.open_event_bytes() == 0 && (self.has_event || may_be_empty);
+        let remaining = self.pending.take().unwrap_or_default();
+        is_complete.then(|| remaining.freeze())
     }
-}
 
-/// Returns the length of the first event, its blank line included, scanning from `from`.
-fn event_length(bytes: &[u8], from: usize) -> Option<usize> {
-    let mut index = from.min(bytes.len());
-    while index < bytes.len() {
-        if bytes[index..].starts_with(b"\n\n") {
-            return Some(index + 2);
-        }
-        if bytes[index..].starts_with(b"\r\n\r\n") {
-            return Some(index + 4);
-        }
-        index += 1;
+    /// Returns the number of bytes of the incomplete event.
+    pub(super) const fn open_event_bytes(&self) -> usize {
+        self.scanner.open_event_bytes()
     }
-    None
 }
 
-/// Returns the first numeric identifier among an event's lines.
-fn event_id(event: &[u8]) -> Option<u64> {
-    event
-        .split(|byte| *byte == b'\n')
+/// Returns the last numeric identifier among the events' lines.
+fn last_event_id(events: &[u8]) -> Option<u64> {
+    events
+        .split(|byte| matches!(byte, b'\n' | b'\r'))
         .filter_map(|line| line.strip_prefix(b"id:"))
-        .find_map(|value| std::str::from_utf8(value).ok()?.trim().parse().ok())
+        .filter_map(|value| std::str::from_utf8(value).ok()?.trim().parse().ok())
+        .next_back()
 }
--- a/crates/clementinepond_entry/src/caller/stream.rs
+++ b/crates/clementinepond_entry/src/caller/stream.rs
@@ -10,9 +10,7 @@
 use super::unary::{ReadFailure, caller_headers, read_complete};
 use crate::clock::BootClock;
 use crate::node::{EntryNode, PickedEndpoint};
-use bytes::Bytes;
 use clementinepond_dispatch::health::EndpointOutcome;
-use clementinepond_dispatch::stream::EventScanner;
 use clementinepond_types::{LocalTime, TimeSpan};
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -41,8 +39,7 @@
         request,
         search,
         parts,
-        events: EventReader::default(),
-        scanner: EventScanner::default(),
+        last_id: None,
         has_started: false,
         record: StreamRecord {
             predicted: started.picked.predicted,
@@ -96,7 +93,7 @@
 enum RelayEnd {
     /// The endpoint's answer is complete.
     Complete,
-    /// The endpoint's connection was lost.
+    /// The endpoint's connection was lost, or its answer is truncated.
     Broken,
     /// The caller disconnected.
     CallerLeft,
@@ -122,9 +119,8 @@
     request: Rc<AdmittedRequest>,
     search: EndpointSearch,
     parts: mpsc::Sender<BodyPart>,
-    /// Incomplete event of a stream that may be resumed.
-    events: EventReader,
-    scanner: EventScanner,
+    /// Identifier of the last event that was relayed, if the stream may be resumed.
+    last_id: Option<u64>,
     /// Whether the first chunk of the first answer has arrived.
     has_started: bool,
     record: StreamRecord,
@@ -176,9 +172,8 @@
         if !is_resumable(&self.request) || !self.search.take_retry() {
             return None;
         }
-        self.events.drop_partial();
         self.search.silent_since = BootClock::now();
-        self.search.resume_after = self.events.last_id.or(self.search.resume_after);
+        self.search.resume_after = self.last_id.or(self.search.resume_after);
         let search = self.search.run();
         let started = tokio::select! {
             () = self.parts.closed() => return None,
@@ -196,9 +191,12 @@
             sent_at,
         } = started;
         let mut body = answer.response.into_body();
-        self.scanner = EventScanner::default();
-        let end = self.copy_body(&mut body, &picked, sent_at).await;
-        self.record.open_event_bytes = self.scanner.open_event_bytes();
+        let mut events = EventReader::new(answer.framing, is_resumable(&self.request));
+        let end = self
+            .copy_body(&mut body, &mut events, &picked, sent_at)
+            .await;
+        self.last_id = events.last_id.or(self.last_id);
+        self.record.open_event_bytes = events.open_event_bytes();
         if end == RelayEnd::Complete {
             answer.connection.finish(&self.node);
         }
@@ -209,6 +207,7 @@
     async fn copy_body(
         &mut self,
         body: &mut Incoming,
+        events: &mut EventReader,
         picked: &PickedEndpoint,
         sent_at: LocalTime,
     ) -> RelayEnd {
@@ -223,7 +222,7 @@
                 () = deadline.as_mut() => return RelayEnd::TimedOut,
             };
             let chunk = match frame {
-                None => return self.finish().await,
+                None => return self.finish(events).await,
                 Some(Err(_)) => return RelayEnd::Broken,
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(chunk) => chunk,
@@ -238,8 +237,7 @@
                     self.record.longest_pause = self.record.longest_pause.max(pause);
                 }
             }
-            self.scanner.scan(&chunk);
-            let Some(chunk) = self.complete_events(chunk) else {
+            let Some(chunk) = events.push(chunk) else {
                 continue;
             };
             let sent = tokio::select! {
@@ -252,23 +250,13 @@
         }
     }
 
-    /// Returns the bytes that may be relayed now: complete events if the stream may be
-    /// resumed, else every chunk at once.
-    fn complete_events(&mut self, chunk: Bytes) -> Option<Bytes> {
-        if !is_resumable(&self.request) {
-            return Some(chunk);
-        }
-        let events = self.events.push(&chunk);
-        if events.is_none() && self.events.is_overlong() {
-            return Some(self.events.take_remaining());
-        }
-        events
-    }
-
-    /// Relays the remaining bytes after the end of the body.
-    async fn finish(&mut self) -> RelayEnd {
-        let remaining = self.events.take_remaining();
-        if !remaining.is_empty() && self.parts.send(BodyPart::Data(remaining)).await.is_err() {
+    /// Relays the remaining bytes after the end of the body, if the stream is complete.
+    async fn finish(&mut self, events: &mut EventReader) -> RelayEnd {
+        let Some(remaining) = events.finish() else {
+            return RelayEnd::Broken;
+        };
+        let remaining = BodyPart::Data(remaining);
+        if self.parts.send(remaining).await.is_err() {
             return RelayEnd::CallerLeft;
         }
         RelayEnd::Complete
