--- a/crates/clementinepond/tests/entry/truncated_streams.rs
+++ b/crates/clementinepond/tests/entry/truncated_streams.rs
@@ -130,3 +130,26 @@
         assert_eq!(status, if is_reset { 502 } else { 200 });
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn overlong_event_is_not_joined_with_that_of_another_endpoint() {
+    let deployment = Deployment::start(0).await;
+    let script = |request: &RawRequest| {
+        let events = match request.resume_after {
+            0 => format!(
+                "{}id: 4\ndata: {}",
+                stream_events(1..=3),
+                "x".repeat(2 << 20)
+            ),
+            last => stream_events(last + 1..=8),
+        };
+        framed(Framing::Connection, request, &events)
+    };
+    let options = |id| endpoint_options("engines", id, &["m0"]);
+    let _first = deployment.raw_endpoint(options("raw-0"), script).await;
+    let _second = deployment.raw_endpoint(options("raw-1"), script).await;
+    let entry = deployment.entry("vm-1");
+    entry.ready().await;
+    let outcome = send_call(entry.callers, call_to("/batch/cut", Some("m0"))).await;
+    assert_eq!(expect_answer(outcome), (200, complete_stream()));
+}
--- a/crates/clementinepond_entry/src/caller/event_reader.rs
+++ b/crates/clementinepond_entry/src/caller/event_reader.rs
@@ -6,8 +6,9 @@
 use bytes::{Bytes, BytesMut};
 use clementinepond_dispatch::stream::{BodyFraming, EventScanner};
 
-/// Size up to which an incomplete event is buffered; a larger one is relayed in parts.
-const EVENT_LIMIT_BYTES: usize = 1024 * 1024;
+/// Maximum size of an event; bounds the memory of a VM that buffers an event for each of
+/// its streams.
+const EVENT_LIMIT_BYTES: usize = 256 * 1024;
 
 /// Reader of one answer of a stream.
 #[derive(Debug)]
@@ -42,12 +43,14 @@
         };
         let before = pending.len();
         pending.extend_from_slice(&chunk);
-        if let Some(end) = end {
-            let events = pending.split_to(before + end).freeze();
-            self.last_id = last_event_id(&events).or(self.last_id);
-            return Some(events);
-        }
-        (pending.len() > EVENT_LIMIT_BYTES).then(|| pending.split().freeze())
+        let events = pending.split_to(before + end?).freeze();
+        self.last_id = last_event_id(&events).or(self.last_id);
+        Some(events)
+    }
+
+    /// Returns whether the incomplete event exceeds the maximum size.
+    pub(super) const fn is_overlong(&self) -> bool {
+        self.scanner.open_event_bytes() > EVENT_LIMIT_BYTES
     }
 
     /// Returns the bytes that remain to be relayed after the end of the body, or `None` if
--- a/crates/clementinepond_entry/src/caller/stream.rs
+++ b/crates/clementinepond_entry/src/caller/stream.rs
@@ -237,7 +237,11 @@
                     self.record.longest_pause = self.record.longest_pause.max(pause);
                 }
             }
-            let Some(chunk) = events.push(chunk) else {
+            let relayed = events.push(chunk);
+            if events.is_overlong() {
+                return RelayEnd::Broken;
+            }
+            let Some(chunk) = relayed else {
                 continue;
             };
             let sent = tokio::select! {
