--- a/crates/clementinepond_entry/src/caller/admission.rs
+++ b/crates/clementinepond_entry/src/caller/admission.rs
@@ -14,6 +14,7 @@
 use clementinepond_platform::{CallerKey, read_key};
 use clementinepond_types::{AccountId, LocalTime, TimeSpan};
 use http_body_util::{BodyExt, Limited};
+use hyper::Version;
 use hyper::body::{Body, Incoming};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
@@ -92,6 +93,10 @@
     };
     let route = find_route(node, &table, &parts, arrival)?.clone();
     let account = check_key(node, &table, &route, &parts, arrival)?;
+    // HTTP/1.0 has no chunks, so a stream that breaks would look complete.
+    if route.retry_rule.is_stream() && parts.version == Version::HTTP_10 {
+        return Err(LocalAnswer::BadRequest("stream_needs_http_1_1"));
+    }
     let timeout = profile.timeout.unwrap_or(route.timeout);
     let deadline = arrival + timeout.min(route.timeout);
     let limits = &table.policy().limits;
