--- a/crates/clementinepond/src/command/entry_log_event.rs
+++ b/crates/clementinepond/src/command/entry_log_event.rs
@@ -201,7 +201,7 @@
     ),
     event(
         "request_ended",
-        "request route service model account endpoint outcome status reason endpoints waited_ms framing predicted_ms first_ms pause_ms open_event_bytes duration_ms configuration",
+        "request route service model account endpoint software outcome status reason endpoints waited_ms framing predicted_ms first_ms pause_ms open_event_bytes duration_ms configuration",
         "a request ended",
     ),
     event(
@@ -275,6 +275,11 @@
         "kind",
         "watching objects of this kind in the store works again",
     ),
+    event(
+        "stream_resumed",
+        "request resumes endpoint software after",
+        "a stream goes on after an event, within one answer or, with `resumes`, over its caller's tries",
+    ),
     event(
         "vm_entry_failed",
         "outcome",
--- a/crates/clementinepond_dispatch/src/fleet/endpoint.rs
+++ b/crates/clementinepond_dispatch/src/fleet/endpoint.rs
@@ -1,6 +1,6 @@
 //! Endpoints as described by their entries in the store.
 
-use super::ServiceId;
+use super::{ServiceId, SoftwareVersion};
 use clementinepond_types::{AdapterId, DataCentreId, EndpointId, ModelId, TimeSpan};
 use std::net::SocketAddrV4;
 
@@ -35,6 +35,8 @@
     pub address: SocketAddrV4,
     /// Data centre of the endpoint.
     pub data_centre: DataCentreId,
+    /// Version of the endpoint's software.
+    pub software: SoftwareVersion,
     /// Whether the endpoint takes new requests.
     pub phase: EndpointPhase,
     /// Number of requests that run concurrently.
--- a/crates/clementinepond_dispatch/src/fleet/mod.rs
+++ b/crates/clementinepond_dispatch/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod policy;
 mod request;
 mod service_id;
+mod software_version;
 
 pub use account::{AccountPolicy, QuotaUnit};
 pub use endpoint::{EndpointEntry, EndpointPhase, HostedModel, InstanceLoad};
@@ -13,3 +14,4 @@
 pub use policy::{CallerLimits, FleetPolicy, RetryRule, RoutePolicy, RouteTarget, ServicePolicy};
 pub use request::{ModelTarget, PromptBlock, RequestProfile, TokenDemand};
 pub use service_id::ServiceId;
+pub use software_version::{SoftwareVersion, SoftwareVersionError};
--- a/crates/clementinepond_dispatch/src/fleet/request.rs
+++ b/crates/clementinepond_dispatch/src/fleet/request.rs
@@ -53,6 +53,8 @@
     pub blocks: Vec<PromptBlock>,
     /// ID of the event after which a stream resumes.
     pub resume_after: Option<u64>,
+    /// Request ID of the caller's attempt that brought the first event of the stream.
+    pub resumes: Option<RequestId>,
     /// Caller's estimate of the output length, in tokens.
     pub output_hint: Option<u64>,
 }
--- a/crates/clementinepond_dispatch/tests/support/mod.rs
+++ b/crates/clementinepond_dispatch/tests/support/mod.rs
@@ -49,6 +49,7 @@
         service: ServiceId::new("engines"),
         address: "10.0.0.1:80".parse().unwrap(),
         data_centre: "dc-a".parse().unwrap(),
+        software: "v1".parse().unwrap(),
         phase: EndpointPhase::Ready,
         slots: 64,
         started_ms: 1_000,
--- a/crates/clementinepond_entry/src/caller/request_end.rs
+++ b/crates/clementinepond_entry/src/caller/request_end.rs
@@ -3,6 +3,7 @@
 use super::admission::AdmittedRequest;
 use crate::clock::BootClock;
 use crate::node::{EntryNode, increment};
+use clementinepond_dispatch::fleet::SoftwareVersion;
 use clementinepond_dispatch::stream::BodyFraming;
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
 use derive_more::Display;
@@ -11,6 +12,7 @@
 #[derive(Debug)]
 pub(super) struct RequestEnd<'a> {
     pub(super) endpoint: &'a EndpointId,
+    pub(super) software: &'a SoftwareVersion,
     pub(super) status: u16,
     pub(super) outcome: &'static str,
     pub(super) sent_at: LocalTime,
@@ -53,13 +55,14 @@
         let now = BootClock::now();
         let target = request.profile.target.as_ref();
         log::info!(
-            "event=request_ended request={} route={} service={} model={} account={} endpoint={} outcome={} status={} endpoints={} waited_ms={} framing={}{} duration_ms={} configuration={}",
+            "event=request_ended request={} route={} service={} model={} account={} endpoint={} software={} outcome={} status={} endpoints={} waited_ms={} framing={}{} duration_ms={} configuration={}",
             request.profile.id.as_ref().map_or("-", |id| id.as_str()),
             request.route.name,
             request.service,
             target.map_or("-", |target| target.model.as_str()),
             request.account.as_ref().map_or("-", |id| id.as_str()),
             self.endpoint,
+            self.software,
             self.outcome,
             self.status,
             self.sent,
--- a/crates/clementinepond_entry/src/caller/stream.rs
+++ b/crates/clementinepond_entry/src/caller/stream.rs
@@ -11,7 +11,7 @@
 use crate::clock::BootClock;
 use crate::node::{EntryNode, PickedEndpoint};
 use clementinepond_dispatch::health::EndpointOutcome;
-use clementinepond_types::{LocalTime, TimeSpan};
+use clementinepond_types::{LocalTime, RequestId, TimeSpan};
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -32,6 +32,9 @@
     if !status.is_success() {
         return relay_error_answer(node, &request, &search, started).await;
     }
+    if request.profile.resume_after.is_some() {
+        log_resumption(&request, &started.picked, request.profile.resume_after);
+    }
     let headers = caller_headers(started.answer.response.headers().clone());
     let (parts, body) = mpsc::channel(MAX_BUFFERED_PARTS);
     let relay = StreamRelay {
@@ -64,12 +67,14 @@
 ) -> Result<Response<AnswerBody>, LocalAnswer> {
     let status = started.answer.response.status();
     let id = started.picked.id.clone();
+    let software = started.picked.software.clone();
     let sent_at = started.sent_at;
     let framing = started.answer.framing;
     match read_complete(node, request, started.answer, started.picked).await {
         Ok((headers, body)) => {
             let end = RequestEnd {
                 endpoint: &id,
+                software: &software,
                 status: status.as_u16(),
                 outcome: "answered",
                 sent_at,
@@ -88,6 +93,19 @@
     }
 }
 
+/// Logs that an endpoint resumes a stream after an event.
+fn log_resumption(request: &AdmittedRequest, picked: &PickedEndpoint, after: Option<u64>) {
+    let profile = &request.profile;
+    log::info!(
+        "event=stream_resumed request={} resumes={} endpoint={} software={} after={}",
+        profile.id.as_ref().map_or("-", RequestId::as_str),
+        profile.resumes.as_ref().map_or("-", RequestId::as_str),
+        picked.id,
+        picked.software,
+        after.unwrap_or(0)
+    );
+}
+
 /// Outcome of relaying one endpoint's answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RelayEnd {
@@ -132,6 +150,7 @@
         let mut current = started;
         loop {
             let id = current.picked.id.clone();
+            let software = current.picked.software.clone();
             let sent_at = current.sent_at;
             let framing = current.answer.framing;
             let (picked, end) = self.relay(current).await;
@@ -151,6 +170,7 @@
             }
             let request_end = RequestEnd {
                 endpoint: &id,
+                software: &software,
                 status: 200,
                 outcome: end.name(),
                 sent_at,
@@ -179,8 +199,11 @@
             () = self.parts.closed() => return None,
             started = search => started.ok()?,
         };
-        let is_success = started.answer.response.status().is_success();
-        is_success.then_some(started)
+        if !started.answer.response.status().is_success() {
+            return None;
+        }
+        log_resumption(&self.request, &started.picked, self.search.resume_after);
+        Some(started)
     }
 
     /// Relays one endpoint's answer and returns its connection to the pool if complete.
--- a/crates/clementinepond_entry/src/caller/unary.rs
+++ b/crates/clementinepond_entry/src/caller/unary.rs
@@ -34,6 +34,7 @@
         } = started;
         let status = answer.response.status();
         let id = picked.id.clone();
+        let software = picked.software.clone();
         let framing = answer.framing;
         match read_complete(node, request, answer, picked).await {
             Ok((headers, body)) => {
@@ -44,6 +45,7 @@
                 }
                 let end = RequestEnd {
                     endpoint: &id,
+                    software: &software,
                     status: status.as_u16(),
                     outcome: "answered",
                     sent_at,
--- a/crates/clementinepond_entry/src/node/pick.rs
+++ b/crates/clementinepond_entry/src/node/pick.rs
@@ -4,7 +4,7 @@
 use crate::clock::BootClock;
 use clementinepond_dispatch::directory::{KnownEndpoint, Presence};
 use clementinepond_dispatch::fleet::{
-    EnginePolicy, ModelTarget, RequestProfile, ServiceId, TokenDemand,
+    EnginePolicy, ModelTarget, RequestProfile, ServiceId, SoftwareVersion, TokenDemand,
 };
 use clementinepond_dispatch::health::EndpointOutcome;
 use clementinepond_dispatch::load::{EndpointLoad, NameHash};
@@ -50,6 +50,8 @@
 pub(crate) struct PickedEndpoint {
     pub(crate) id: EndpointId,
     pub(crate) address: SocketAddrV4,
+    /// Version of the endpoint's software.
+    pub(crate) software: SoftwareVersion,
     /// Predicted time to the first token; zero for services without an engine.
     pub(crate) predicted: TimeSpan,
     /// Adapter that the endpoint has to load first, if any.
@@ -237,6 +239,7 @@
         };
         let id = chosen.endpoint.id.clone();
         let address = chosen.endpoint.address;
+        let software = chosen.endpoint.software.clone();
         let account = query
             .account
             .map(|id| (id.clone(), state.limiter.admitted(id) as u64));
@@ -253,6 +256,7 @@
         Ok(PickedEndpoint {
             id,
             address,
+            software,
             predicted,
             missing_adapter,
             guard,
@@ -297,6 +301,7 @@
         };
         let id = candidates[index].endpoint.id.clone();
         let address = candidates[index].endpoint.address;
+        let software = candidates[index].endpoint.software.clone();
         drop(guard);
         let run_load = EndpointLoad {
             runs: 1,
@@ -306,6 +311,7 @@
         Ok(PickedEndpoint {
             id,
             address,
+            software,
             predicted: TimeSpan::ZERO,
             missing_adapter: None,
             guard,
