--- a/crates/clementinepond/tests/entry/main.rs
+++ b/crates/clementinepond/tests/entry/main.rs
@@ -15,5 +15,6 @@
 mod peer_updates;
 mod refusals;
 mod request_path;
+mod stream_versions;
 mod support;
 mod truncated_streams;
--- a/crates/clementinepond/tests/entry/support.rs
+++ b/crates/clementinepond/tests/entry/support.rs
@@ -215,6 +215,7 @@
         id: id.into(),
         service: service.into(),
         data_centre: "dc-a".into(),
+        software: "v1".into(),
         models: models.iter().map(|&name| name.to_owned()).collect(),
         model_slots: 2,
         events: 8,
@@ -240,6 +241,7 @@
         model: model.map(str::to_owned),
         timeout: Duration::from_secs(4),
         body: b"{}".to_vec(),
+        resumption: None,
     }
 }
 
--- a/crates/clementinepond_soak/src/callers.rs
+++ b/crates/clementinepond_soak/src/callers.rs
@@ -42,6 +42,7 @@
         model: model.map(str::to_owned),
         timeout: CALL_TIMEOUT,
         body: attempt.as_bytes().to_vec(),
+        resumption: None,
     };
     (call, model.is_some())
 }
--- a/crates/clementinepond_soak/src/deployment.rs
+++ b/crates/clementinepond_soak/src/deployment.rs
@@ -59,6 +59,7 @@
                 id: format!("endpoint-{index}"),
                 service: if is_engine { "engines" } else { "files" }.into(),
                 data_centre: "dc-a".into(),
+                software: "v1".into(),
                 models: if is_engine {
                     vec!["m0".into()]
                 } else {
