--- a/crates/clementinepond/src/command/entry_log_event.rs
+++ b/crates/clementinepond/src/command/entry_log_event.rs
@@ -275,6 +275,11 @@
         "kind",
         "watching objects of this kind in the store works again",
     ),
+    event(
+        "stream_origin_dropped",
+        "stream",
+        "the origin of a stream was not kept, since the VM keeps too many",
+    ),
     event(
         "stream_resumed",
         "request resumes endpoint software after",
--- a/crates/clementinepond_dispatch/src/peer/message.rs
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::PromptBlock;
 use crate::load::{EndpointLoad, NameHash};
+use crate::stream::{StreamKey, StreamOrigin};
 use clementinepond_types::{AccountId, AdapterId, DataCentreId, EndpointId, ModelId, VmId};
 use serde::{Deserialize, Serialize};
 
@@ -187,6 +188,25 @@
         /// Content.
         message: Box<PeerMessage>,
     },
+    /// Origin of a stream, for its holders or in answer to a query.
+    StreamOrigin {
+        /// Stream.
+        key: StreamKey,
+        /// Service and software version that began it.
+        origin: StreamOrigin,
+        /// Milliseconds for which the origin is kept.
+        time_left_ms: u32,
+    },
+    /// Query for the origin of a stream.
+    StreamOriginQuery {
+        /// Stream.
+        key: StreamKey,
+    },
+    /// Answer to a query for an origin that the VM does not know.
+    StreamOriginUnknown {
+        /// Stream.
+        key: StreamKey,
+    },
 }
 
 /// Change to an endpoint's entry in the store.
--- a/crates/clementinepond_dispatch/src/peer/mod.rs
+++ b/crates/clementinepond_dispatch/src/peer/mod.rs
@@ -3,6 +3,7 @@
 mod fetch_schedule;
 mod link_budget;
 mod message;
+mod origin_holders;
 mod peer_table;
 mod relay;
 
--- a/crates/clementinepond_entry/src/caller/admission.rs
+++ b/crates/clementinepond_entry/src/caller/admission.rs
@@ -10,6 +10,7 @@
 };
 use clementinepond_dispatch::quota::QuotaVerdict;
 use clementinepond_dispatch::select::stream_stall_timeout;
+use clementinepond_dispatch::stream::{StreamKey, StreamOrigin};
 use clementinepond_dispatch::table::{KeyCheck, RouteTable, pick_service};
 use clementinepond_platform::{CallerKey, read_key};
 use clementinepond_types::{AccountId, LocalTime, TimeSpan};
@@ -44,6 +45,8 @@
     pub(crate) cost: f64,
     /// Hash of path, account and body, by which requests that crash endpoints are recognized.
     pub(crate) fingerprint: u64,
+    /// Origin of the stream that the request takes up; `None` for a new request.
+    pub(crate) origin: Option<StreamOrigin>,
 }
 
 impl AdmittedRequest {
@@ -59,6 +62,17 @@
         self.route.retry_rule.is_stream()
     }
 
+    /// Returns the key of the stream that the request begins or takes up; `None` if the
+    /// caller does not name it.
+    pub(crate) fn stream_key(&self) -> Option<StreamKey> {
+        let profile = &self.profile;
+        let attempt = match profile.resume_after {
+            Some(_) => profile.resumes.as_ref()?,
+            None => profile.id.as_ref()?,
+        };
+        Some(StreamKey::new(self.account.as_ref(), attempt))
+    }
+
     /// Returns the time until which a caller waits that has received no data since
     /// `silent_since`.
     pub(crate) fn wait_deadline(&self, silent_since: LocalTime) -> LocalTime {
@@ -130,6 +144,7 @@
         deadline,
         cost,
         fingerprint,
+        origin: None,
         route,
         table,
     })
--- a/crates/clementinepond_entry/src/caller/endpoint_search.rs
+++ b/crates/clementinepond_entry/src/caller/endpoint_search.rs
@@ -10,6 +10,7 @@
 use crate::node::{EntryNode, PickQuery, PickedEndpoint, RefusalCause, increment};
 use clementinepond_dispatch::health::EndpointOutcome;
 use clementinepond_dispatch::load::NameHash;
+use clementinepond_dispatch::stream::StreamOrigin;
 use clementinepond_platform::AttemptHeaders;
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
 use hyper::StatusCode;
@@ -76,6 +77,8 @@
     pub(crate) silent_since: LocalTime,
     /// Identifier of the event after which the stream is resumed, if any.
     pub(crate) resume_after: Option<u64>,
+    /// Origin of the stream, once one of its events has been relayed.
+    pub(crate) origin: Option<StreamOrigin>,
 }
 
 impl EndpointSearch {
@@ -91,6 +94,7 @@
             may_have_run: false,
             silent_since: request.arrival,
             resume_after: request.profile.resume_after,
+            origin: request.origin.clone(),
         }
     }
 
@@ -145,6 +149,7 @@
                 deadline: request.deadline,
                 first_token_by: request.wait_deadline(self.silent_since),
                 tried: &self.tried,
+                software: self.origin.as_ref().map(|origin| &origin.software),
             };
             let picked = match self.node.pick(&query, request.engine()) {
                 Ok(picked) => picked,
--- a/crates/clementinepond_entry/src/caller/serve_request.rs
+++ b/crates/clementinepond_entry/src/caller/serve_request.rs
@@ -25,6 +25,9 @@
 const UNARY_TYPICAL_DURATION: TimeSpan = TimeSpan::from_millis(1_500);
 /// Time reserved between the last answer and the end of the process at shutdown.
 const EXIT_MARGIN: TimeSpan = TimeSpan::from_millis(400);
+/// Retry delay stated to a caller whose stream cannot go on here; another VM may know its
+/// origin.
+const ORIGIN_RETRY_DELAY: TimeSpan = TimeSpan::from_millis(100);
 /// Retry delay stated to a caller that is sent to another VM.
 const STOPPING_RETRY_DELAY: TimeSpan = TimeSpan::from_millis(20);
 
@@ -64,7 +67,7 @@
 /// Serves an admitted request; its account is refunded if the request did not run.
 async fn serve_admitted(
     node: &Rc<EntryNode>,
-    request: AdmittedRequest,
+    mut request: AdmittedRequest,
 ) -> Result<Response<AnswerBody>, LocalAnswer> {
     if request.profile.id.is_none() {
         refund(node, &request);
@@ -74,6 +77,10 @@
         refund(node, &request);
         return Err(LocalAnswer::NotRun("stopping", STOPPING_RETRY_DELAY));
     }
+    if let Err(answer) = find_origin(node, &mut request).await {
+        refund(node, &request);
+        return Err(answer);
+    }
     record_request(node, &request);
     let now = BootClock::now();
     if node
@@ -100,6 +107,33 @@
     answered
 }
 
+/// Finds the origin of a stream that the request takes up, and directs the request to it.
+async fn find_origin(node: &EntryNode, request: &mut AdmittedRequest) -> Result<(), LocalAnswer> {
+    if !request.is_stream() || request.profile.resume_after.is_none() {
+        return Ok(());
+    }
+    let Some(key) = request.stream_key() else {
+        return Err(refuse_resumption(request, "stream_not_named"));
+    };
+    let Some(origin) = node.find_origin(key).await else {
+        return Err(refuse_resumption(request, "stream_origin_unknown"));
+    };
+    let targets = &request.route.targets;
+    if !targets
+        .iter()
+        .any(|target| target.service == origin.service)
+    {
+        return Err(refuse_resumption(request, "stream_service_removed"));
+    }
+    request.service = origin.service.clone();
+    request.origin = Some(origin);
+    Ok(())
+}
+
+fn refuse_resumption(request: &AdmittedRequest, reason: &'static str) -> LocalAnswer {
+    LocalAnswer::NotRun(reason, request.bounded_retry_delay(ORIGIN_RETRY_DELAY))
+}
+
 /// Returns whether the process might end before the answer to the request is complete.
 fn is_too_late_to_start(node: &EntryNode, request: &AdmittedRequest) -> bool {
     let Some(since) = node.stopping_since.get() else {
--- a/crates/clementinepond_entry/src/caller/stream.rs
+++ b/crates/clementinepond_entry/src/caller/stream.rs
@@ -11,6 +11,7 @@
 use crate::clock::BootClock;
 use crate::node::{EntryNode, PickedEndpoint};
 use clementinepond_dispatch::health::EndpointOutcome;
+use clementinepond_dispatch::stream::StreamOrigin;
 use clementinepond_types::{LocalTime, RequestId, TimeSpan};
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -21,6 +22,9 @@
 /// Maximum number of parts buffered for a caller that reads slowly.
 const MAX_BUFFERED_PARTS: usize = 16;
 
+/// Time for which the origin of a stream is kept after its caller's timeout.
+const ORIGIN_SLACK: TimeSpan = TimeSpan::from_secs(2);
+
 /// Starts a stream and spawns the task that relays it.
 pub(super) async fn serve(
     node: &Rc<EntryNode>,
@@ -43,6 +47,7 @@
         search,
         parts,
         last_id: None,
+        is_origin_announced: false,
         has_started: false,
         record: StreamRecord {
             predicted: started.picked.predicted,
@@ -139,6 +144,7 @@
     parts: mpsc::Sender<BodyPart>,
     /// Identifier of the last event that was relayed, if the stream may be resumed.
     last_id: Option<u64>,
+    is_origin_announced: bool,
     /// Whether the first chunk of the first answer has arrived.
     has_started: bool,
     record: StreamRecord,
@@ -267,6 +273,7 @@
             let Some(chunk) = relayed else {
                 continue;
             };
+            self.record_origin(picked);
             let sent = tokio::select! {
                 sent = self.parts.send(BodyPart::Data(chunk)) => sent,
                 () = deadline.as_mut() => return RelayEnd::TimedOut,
@@ -277,6 +284,25 @@
         }
     }
 
+    /// Records and announces the origin of a stream that may go on elsewhere, before the
+    /// first of its events is relayed.
+    fn record_origin(&mut self, picked: &PickedEndpoint) {
+        if self.is_origin_announced || !is_resumable(&self.request) {
+            return;
+        }
+        self.is_origin_announced = true;
+        let origin = self.search.origin.get_or_insert_with(|| StreamOrigin {
+            service: self.request.service.clone(),
+            software: picked.software.clone(),
+        });
+        if let Some(key) = self.request.stream_key() {
+            let timeout = self.request.profile.timeout.unwrap_or(TimeSpan::ZERO);
+            let longest = timeout.max(self.request.route.timeout) + ORIGIN_SLACK;
+            self.node
+                .announce_origin(key, origin, self.request.arrival + longest);
+        }
+    }
+
     /// Relays the remaining bytes after the end of the body, if the stream is complete.
     async fn finish(&mut self, events: &mut EventReader) -> RelayEnd {
         let Some(remaining) = events.finish() else {
--- a/crates/clementinepond_entry/src/node/entry_node.rs
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -17,6 +17,7 @@
 use clementinepond_dispatch::placement::{DemandMeter, PlacementPlanner};
 use clementinepond_dispatch::quota::RateLimiter;
 use clementinepond_dispatch::select::PrefixCacheIndex;
+use clementinepond_dispatch::stream::OriginTable;
 use clementinepond_dispatch::suspect::CrashSuspects;
 use clementinepond_dispatch::table::RouteTable;
 use clementinepond_types::{EndpointId, LocalTime};
@@ -56,6 +57,7 @@
     pub(crate) limiter: RateLimiter,
     pub(crate) budgets: FnvHashMap<ServiceId, RetryBudget>,
     pub(crate) peers: PeerTable,
+    pub(crate) origins: OriginTable,
     pub(crate) placement: PlacementView,
     pub(crate) suspects: CrashSuspects,
     /// Measured time to the first token divided by the predicted one, averaged.
@@ -113,6 +115,8 @@
     pub(crate) peer_updated: Notify,
     /// Wakes requests that wait for a copy or an adapter.
     pub(crate) placement_changed: Notify,
+    /// Wakes requests that wait for the origin of a stream.
+    pub(crate) origin_updated: Notify,
     /// Wakes the task that plans placement and sends orders.
     pub(crate) orders_due: Notify,
     pub(crate) socket: OnceCell<Rc<PeerSocket>>,
@@ -136,6 +140,7 @@
             limiter: RateLimiter::new(),
             budgets: FnvHashMap::default(),
             peers: PeerTable::default(),
+            origins: OriginTable::default(),
             placement: PlacementView::default(),
             suspects: CrashSuspects::default(),
             slowdowns: FnvHashMap::default(),
@@ -158,6 +163,7 @@
             stopping_since: Cell::new(None),
             peer_updated: Notify::new(),
             placement_changed: Notify::new(),
+            origin_updated: Notify::new(),
             orders_due: Notify::new(),
             socket: OnceCell::new(),
         }
--- a/crates/clementinepond_entry/src/node/mod.rs
+++ b/crates/clementinepond_entry/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod placement;
 mod run_update;
 mod stats;
+mod stream_origin;
 
 pub(crate) use entry_node::EntryNode;
 pub(crate) use pick::{PickQuery, PickedEndpoint, RefusalCause};
--- a/crates/clementinepond_entry/src/node/peers.rs
+++ b/crates/clementinepond_entry/src/node/peers.rs
@@ -266,6 +266,20 @@
         }
     }
 
+    /// Sends a message to VMs directly; those whose address is unknown are left out.
+    pub(crate) fn send_to_each(&self, message: PeerMessage, vms: &[VmId]) {
+        let Some(socket) = self.socket.get() else {
+            return;
+        };
+        let Some(datagram) = socket.encode_own(message) else {
+            return;
+        };
+        let state = self.state.borrow();
+        for address in vms.iter().filter_map(|vm| state.peers.address(vm)) {
+            socket.send(&datagram, address);
+        }
+    }
+
     /// Sends a message to every peer.
     pub(crate) fn broadcast(&self, message: PeerMessage) {
         let Some(socket) = self.socket.get() else {
@@ -299,6 +313,7 @@
             // it cannot be told apart from a stopped VM.
             state.loads.remove_peer(&vm);
         }
+        state.origins.sweep(now);
         let (live, known) = state.peers.peer_counts(now);
         state.limiter.set_live_peers(live, known, now);
         let requested = state.peers.requested_per_s(now);
--- a/crates/clementinepond_entry/src/node/pick.rs
+++ b/crates/clementinepond_entry/src/node/pick.rs
@@ -101,6 +101,18 @@
     pub(crate) first_token_by: LocalTime,
     /// Endpoints already tried for this request, which are not chosen again.
     pub(crate) tried: &'a [EndpointId],
+    /// Only software version that may serve the request; `None` for any.
+    pub(crate) software: Option<&'a SoftwareVersion>,
+}
+
+impl PickQuery<'_> {
+    fn allows(&self, known: &KnownEndpoint) -> bool {
+        let entry = &known.entry;
+        !self.tried.contains(&entry.id)
+            && self
+                .software
+                .is_none_or(|software| *software == entry.software)
+    }
 }
 
 impl EntryNode {
@@ -140,7 +152,7 @@
             .directory
             .usable(query.service, now)
             .filter(|known| known.entry.hosted(&target.model).is_some())
-            .filter(|known| !query.tried.contains(&known.entry.id))
+            .filter(|known| query.allows(known))
             .filter(|known| {
                 let key = NameHash::of(known.entry.id.as_str());
                 !state.placement.is_absent(key, model_key, now)
@@ -274,7 +286,7 @@
         let candidates: Vec<ServiceCandidate<'_>> = state
             .directory
             .usable(query.service, now)
-            .filter(|known| !query.tried.contains(&known.entry.id))
+            .filter(|known| query.allows(known))
             .map(|known| {
                 let entry = &known.entry;
                 let key = NameHash::of(entry.id.as_str());
--- a/crates/clementinepond_entry/src/node/stats.rs
+++ b/crates/clementinepond_entry/src/node/stats.rs
@@ -21,6 +21,8 @@
     pub(crate) caller_left: Cell<u64>,
     /// Calls of the store by the watches, the lease and the configuration read.
     pub(crate) store_calls: Cell<u64>,
+    /// Origins of streams that were not kept since there are too many.
+    pub(crate) origins_dropped: Cell<u64>,
     /// Orders sent to endpoints.
     pub(crate) orders: Cell<u64>,
     /// Time from a stream's arrival to its first chunk.
--- a/crates/clementinepond_entry/src/peer/socket.rs
+++ b/crates/clementinepond_entry/src/peer/socket.rs
@@ -144,6 +144,13 @@
             incarnation,
             version,
         } => node.apply_announcement(&from, incarnation, version, now),
+        PeerMessage::StreamOrigin {
+            key,
+            origin,
+            time_left_ms,
+        } => node.apply_origin(key, origin, TimeSpan::from_millis(time_left_ms.into())),
+        PeerMessage::StreamOriginQuery { key } => node.answer_origin_query(key, address),
+        PeerMessage::StreamOriginUnknown { key } => node.apply_origin_unknown(&from, key),
         PeerMessage::Crash { fingerprint } => {
             node.state
                 .borrow_mut()
--- a/crates/clementinepond_entry/src/peer/traffic.rs
+++ b/crates/clementinepond_entry/src/peer/traffic.rs
@@ -15,6 +15,8 @@
     Entries,
     /// Updates of the placement.
     Placement,
+    /// Origins of streams, and queries for them.
+    Origins,
     /// All other datagrams.
     Other,
     /// Answers to snapshot requests.
@@ -23,11 +25,12 @@
 
 impl TrafficKind {
     /// All types, in the order in which they are reported.
-    pub(crate) const ALL: [Self; 6] = [
+    pub(crate) const ALL: [Self; 7] = [
         Self::Heartbeat,
         Self::Runs,
         Self::Entries,
         Self::Placement,
+        Self::Origins,
         Self::Other,
         Self::Snapshot,
     ];
@@ -39,6 +42,9 @@
             PeerMessage::Entries(_) => Self::Entries,
             PeerMessage::Placement(_) => Self::Placement,
             PeerMessage::Relayed { message, .. } => Self::of(message),
+            PeerMessage::StreamOrigin { .. }
+            | PeerMessage::StreamOriginQuery { .. }
+            | PeerMessage::StreamOriginUnknown { .. } => Self::Origins,
             PeerMessage::AdapterWanted { .. }
             | PeerMessage::AdapterReady(_)
             | PeerMessage::Crash { .. }
@@ -52,6 +58,7 @@
             Self::Runs => "runs",
             Self::Entries => "entries",
             Self::Placement => "placement",
+            Self::Origins => "origins",
             Self::Other => "other",
             Self::Snapshot => "snapshot",
         }
