--- a/crates/clementinepond/tests/entry/stream_versions.rs
+++ b/crates/clementinepond/tests/entry/stream_versions.rs
@@ -152,3 +152,33 @@
     assert_eq!(status, 503, "{body}");
     assert!(deployment.checker.runs_of(&attempt).is_empty());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_no_vm_knows_goes_on_only_while_one_software_version_is_possible() {
+    let deployment = Deployment::start(0).await;
+    let _one = engine(&deployment, "v1", 0).await;
+    let entry = deployment.entry("vm-1");
+    entry.ready().await;
+    // Longer than any stream, so that the VM knows every version that may have begun one.
+    tokio::time::sleep(Duration::from_secs(7)).await;
+    let unnamed = || {
+        let mut call = resumption_of("");
+        call.resumption.as_mut().unwrap().attempt.clear();
+        call
+    };
+    for call in [resumption_of("never-seen"), unnamed()] {
+        let outcome = send_call(entry.callers, call).await;
+        assert_eq!(expect_answer(outcome), (200, stream_events(4..=8)));
+    }
+    let _other = engine(&deployment, "v2", 0).await;
+    wait_until("the VM knows the other version", || {
+        entry.has_logged("endpoint=v2-0")
+    })
+    .await;
+    for call in [resumption_of("never-seen-either"), unnamed()] {
+        let attempt = call.attempt.clone();
+        let (status, _) = expect_answer(send_call(entry.callers, call).await);
+        assert_eq!(status, 503);
+        assert!(deployment.checker.runs_of(&attempt).is_empty());
+    }
+}
--- a/crates/clementinepond_dispatch/src/directory/mod.rs
+++ b/crates/clementinepond_dispatch/src/directory/mod.rs
@@ -6,12 +6,14 @@
 //! unavailable and reappear after its return.
 
 mod revision_guard;
+mod software_history;
 
 pub use revision_guard::RevisionGuard;
 
-use crate::fleet::{EndpointEntry, EndpointPhase, ServiceId};
+use crate::fleet::{EndpointEntry, EndpointPhase, ServiceId, SoftwareVersion};
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
 use fnv::{FnvHashMap, FnvHashSet};
+use software_history::SoftwareHistory;
 use std::collections::BTreeMap;
 
 /// Time for which an endpoint that is no longer listed stays usable; less than the two
@@ -60,6 +62,7 @@
     endpoints: BTreeMap<EndpointId, KnownEndpoint>,
     draining: FnvHashMap<EndpointId, u64>,
     store_returned_at: Option<LocalTime>,
+    software: SoftwareHistory,
     /// Store revision up to which the directory is complete.
     pub revision: u64,
 }
@@ -105,6 +108,13 @@
             None => EndpointChange::Joined,
         };
         let leaves_at = before.and_then(|known| known.leaves_at).or(leaves_at);
+        if let Some(known) = before
+            && known.entry.software != entry.software
+        {
+            let left = &known.entry;
+            self.software
+                .record_departure(left.service.clone(), left.software.clone(), now);
+        }
         let known = KnownEndpoint {
             entry,
             presence: Presence::Listed,
@@ -152,13 +162,43 @@
                 .endpoints
                 .get(id)
                 .is_some_and(|known| known.presence != Presence::Listed);
-            if is_unlisted {
-                self.endpoints.remove(id);
+            if is_unlisted && let Some(known) = self.endpoints.remove(id) {
+                let left = known.entry;
+                self.software
+                    .record_departure(left.service, left.software, now);
             }
         }
         expired
     }
 
+    /// Records that the directory is up to date, as far as the store and the peers tell.
+    pub fn record_up_to_date(&mut self, now: LocalTime) {
+        self.software.record_up_to_date(now);
+    }
+
+    /// Returns the only software version that endpoints of a service have had for a time, or
+    /// `None` if there are several or the directory was not complete all the while.
+    #[must_use]
+    pub fn sole_software(
+        &self,
+        service: &ServiceId,
+        age: TimeSpan,
+        now: LocalTime,
+    ) -> Option<SoftwareVersion> {
+        if !self.software.covers(age, now) {
+            return None;
+        }
+        let known = self.endpoints.values().map(|known| &known.entry);
+        let mut versions = known
+            .filter(|entry| entry.service == *service)
+            .map(|entry| &entry.software)
+            .chain(self.software.departed_within(service, age, now));
+        let first = versions.next()?;
+        versions
+            .all(|version| version == first)
+            .then(|| first.clone())
+    }
+
     /// Returns the endpoint with an ID.
     #[must_use]
     pub fn get(&self, id: &EndpointId) -> Option<&KnownEndpoint> {
--- a/crates/clementinepond_dispatch/tests/directory.rs
+++ b/crates/clementinepond_dispatch/tests/directory.rs
@@ -6,7 +6,7 @@
 
 use clementinepond_dispatch::directory::{EndpointChange, EndpointDirectory, RevisionGuard};
 use clementinepond_dispatch::fleet::{EndpointPhase, ServiceId};
-use clementinepond_types::TimeSpan;
+use clementinepond_types::{LocalTime, TimeSpan};
 use support::{at, entry};
 
 fn usable(directory: &EndpointDirectory, millis: u64) -> usize {
@@ -98,3 +98,65 @@
     assert!(!guard.is_outdated("e1", 1_170));
     assert!(guard.accept("e1", 1_170));
 }
+
+/// Updates a directory with an endpoint of a software version.
+fn add_software(directory: &mut EndpointDirectory, name: &str, software: &str, now: LocalTime) {
+    let mut added = entry(name, &[]);
+    added.software = software.parse().unwrap();
+    directory.update(added, now);
+}
+
+/// Reports every second that the directory is up to date.
+fn stay_up_to_date(directory: &mut EndpointDirectory, seconds: std::ops::RangeInclusive<u64>) {
+    for second in seconds {
+        directory.record_up_to_date(at(second * 1_000));
+    }
+}
+
+/// Returns the sole version over the last 10 s.
+fn sole_software(directory: &EndpointDirectory, now: LocalTime) -> Option<String> {
+    let age = TimeSpan::from_secs(10);
+    let sole = directory.sole_software(&ServiceId::new("engines"), age, now);
+    sole.map(|version| version.to_string())
+}
+
+#[test]
+fn sole_software_needs_a_directory_that_was_complete_all_the_while() {
+    let mut directory = EndpointDirectory::default();
+    add_software(&mut directory, "i-1", "v1", at(0));
+    stay_up_to_date(&mut directory, 1..=9);
+    assert_eq!(sole_software(&directory, at(9_500)), None);
+    stay_up_to_date(&mut directory, 10..=11);
+    assert_eq!(sole_software(&directory, at(11_000)).as_deref(), Some("v1"));
+    // No contact for 5 s, after which endpoints may have come and gone.
+    assert_eq!(sole_software(&directory, at(16_000)), None);
+    stay_up_to_date(&mut directory, 16..=25);
+    assert_eq!(sole_software(&directory, at(25_000)), None);
+}
+
+#[test]
+fn software_of_an_endpoint_that_left_counts_until_its_streams_have_ended() {
+    let mut directory = EndpointDirectory::default();
+    add_software(&mut directory, "i-1", "v1", at(0));
+    add_software(&mut directory, "i-2", "v2", at(0));
+    stay_up_to_date(&mut directory, 0..=12);
+    assert_eq!(sole_software(&directory, at(12_000)), None);
+    directory.remove(&"i-2".parse().unwrap(), at(12_000));
+    directory.sweep(at(14_000));
+    stay_up_to_date(&mut directory, 13..=23);
+    assert_eq!(sole_software(&directory, at(23_000)), None);
+    stay_up_to_date(&mut directory, 24..=25);
+    assert_eq!(sole_software(&directory, at(25_000)).as_deref(), Some("v1"));
+}
+
+#[test]
+fn restart_with_other_software_under_the_same_id_makes_two_versions() {
+    let mut directory = EndpointDirectory::default();
+    add_software(&mut directory, "i-1", "v1", at(0));
+    stay_up_to_date(&mut directory, 0..=12);
+    let mut restarted = entry("i-1", &[]);
+    restarted.started_ms += 1;
+    restarted.software = "v2".parse().unwrap();
+    directory.update(restarted, at(12_000));
+    assert_eq!(sole_software(&directory, at(12_000)), None);
+}
--- a/crates/clementinepond_entry/src/caller/admission.rs
+++ b/crates/clementinepond_entry/src/caller/admission.rs
@@ -62,6 +62,12 @@
         self.route.retry_rule.is_stream()
     }
 
+    /// Returns the longest time that the caller waits, over all its tries.
+    pub(crate) fn longest_wait(&self) -> TimeSpan {
+        let stated = self.profile.timeout.unwrap_or(TimeSpan::ZERO);
+        stated.max(self.route.timeout)
+    }
+
     /// Returns the key of the stream that the request begins or takes up; `None` if the
     /// caller does not name it.
     pub(crate) fn stream_key(&self) -> Option<StreamKey> {
--- a/crates/clementinepond_entry/src/caller/serve_request.rs
+++ b/crates/clementinepond_entry/src/caller/serve_request.rs
@@ -8,6 +8,7 @@
 use crate::node::{EntryNode, increment};
 use clementinepond_dispatch::budget::RetryBudget;
 use clementinepond_dispatch::load::NameHash;
+use clementinepond_dispatch::stream::StreamOrigin;
 use clementinepond_platform::read_request;
 use clementinepond_types::{LocalTime, ModelId, RequestId, TimeSpan};
 use hyper::body::Incoming;
@@ -112,10 +113,11 @@
     if !request.is_stream() || request.profile.resume_after.is_none() {
         return Ok(());
     }
-    let Some(key) = request.stream_key() else {
-        return Err(refuse_resumption(request, "stream_not_named"));
+    let known = match request.stream_key() {
+        Some(key) => node.find_origin(key).await,
+        None => None,
     };
-    let Some(origin) = node.find_origin(key).await else {
+    let Some(origin) = known.or_else(|| sole_origin(node, request)) else {
         return Err(refuse_resumption(request, "stream_origin_unknown"));
     };
     let targets = &request.route.targets;
@@ -130,6 +132,26 @@
     Ok(())
 }
 
+/// Returns the only origin that a stream can have, if its route has one service whose
+/// endpoints have had one software version since the longest stream began.
+fn sole_origin(node: &EntryNode, request: &AdmittedRequest) -> Option<StreamOrigin> {
+    let [target] = &*request.route.targets else {
+        return None;
+    };
+    let now = BootClock::now();
+    if !node.is_directory_current(now) {
+        return None;
+    }
+    let state = node.state.borrow();
+    let software = state
+        .directory
+        .sole_software(&target.service, request.longest_wait(), now)?;
+    Some(StreamOrigin {
+        service: target.service.clone(),
+        software,
+    })
+}
+
 fn refuse_resumption(request: &AdmittedRequest, reason: &'static str) -> LocalAnswer {
     LocalAnswer::NotRun(reason, request.bounded_retry_delay(ORIGIN_RETRY_DELAY))
 }
--- a/crates/clementinepond_entry/src/caller/stream.rs
+++ b/crates/clementinepond_entry/src/caller/stream.rs
@@ -296,10 +296,8 @@
             software: picked.software.clone(),
         });
         if let Some(key) = self.request.stream_key() {
-            let timeout = self.request.profile.timeout.unwrap_or(TimeSpan::ZERO);
-            let longest = timeout.max(self.request.route.timeout) + ORIGIN_SLACK;
-            self.node
-                .announce_origin(key, origin, self.request.arrival + longest);
+            let expires_at = self.request.arrival + self.request.longest_wait() + ORIGIN_SLACK;
+            self.node.announce_origin(key, origin, expires_at);
         }
     }
 
--- a/crates/clementinepond_entry/src/node/fleet_state.rs
+++ b/crates/clementinepond_entry/src/node/fleet_state.rs
@@ -376,9 +376,20 @@
             })
     }
 
+    /// Returns whether the directory has all changes that the store or a live peer has.
+    pub(crate) fn is_directory_current(&self, now: LocalTime) -> bool {
+        self.has_store(now)
+            && self.known_revision(WatchTarget::Endpoints) > 0
+            && !self.is_peer_ahead(WatchTarget::Endpoints)
+    }
+
     /// Drops endpoints that are no longer kept in the directory, and their state.
     pub(crate) fn sweep_endpoints(&self, now: LocalTime) {
+        let is_current = self.is_directory_current(now);
         let mut state = self.state.borrow_mut();
+        if is_current {
+            state.directory.record_up_to_date(now);
+        }
         for id in state.directory.sweep(now) {
             if state.directory.get(&id).is_none() {
                 state.health.remove(&id);
