--- a/crates/clementinepond/src/command/entry_log_event.rs
+++ b/crates/clementinepond/src/command/entry_log_event.rs
@@ -19,6 +19,11 @@
         "endpoint request answer signed",
         "an answer was dropped since it belongs to another request or succeeded without a signature",
     ),
+    event(
+        "answer_memory_full",
+        "bytes",
+        "an answer was broken off, since large answers use all the memory that they share",
+    ),
     event(
         "attempt_lost",
         "request endpoint outcome sent",
--- a/crates/clementinepond/tests/entry/support.rs
+++ b/crates/clementinepond/tests/entry/support.rs
@@ -88,6 +88,10 @@
         }
     }
 
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub(crate) fn terminate(&self) {
         let id = self.child.id().to_string();
         let status = Command::new("kill").arg("-TERM").arg(id).status().unwrap();
--- a/crates/clementinepond_entry/src/caller/mod.rs
+++ b/crates/clementinepond_entry/src/caller/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod answer_body;
+mod answer_memory;
 mod connection;
 mod crash_probe;
 mod endpoint_search;
@@ -14,5 +15,6 @@
 mod stream;
 mod unary;
 
+pub(crate) use answer_memory::AnswerMemory;
 pub(crate) use connection::{StopStages, serve_callers};
 pub(crate) use readiness::{serve_metrics, serve_readiness};
--- a/crates/clementinepond_entry/src/caller/unary.rs
+++ b/crates/clementinepond_entry/src/caller/unary.rs
@@ -8,11 +8,12 @@
 use crate::clock::BootClock;
 use crate::endpoint::AttemptAnswer;
 use crate::node::{EntryNode, PickedEndpoint};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use clementinepond_dispatch::health::EndpointOutcome;
 use clementinepond_platform::is_hop_header;
 use http_body_util::{BodyExt, Limited};
 use hyper::Response;
+use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use std::rc::Rc;
 
@@ -76,7 +77,8 @@
 /// Reason for which the body of an answer could not be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ReadFailure {
-    /// The connection was lost, or the body exceeds [`ANSWER_LIMIT_BYTES`].
+    /// The connection was lost, or the body exceeds [`ANSWER_LIMIT_BYTES`] or the VM's memory
+    /// for answers.
     Broken,
     /// The request's deadline passed.
     TimedOut,
@@ -91,10 +93,10 @@
 ) -> Result<(HeaderMap, Bytes), ReadFailure> {
     let (parts, body) = answer.response.into_parts();
     let left = BootClock::now().until(request.deadline);
-    let reading = Limited::new(body, ANSWER_LIMIT_BYTES).collect();
+    let reading = read_body(node, body);
     let bytes = match tokio::time::timeout(left.duration(), reading).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(_)) => return Err(ReadFailure::Broken),
+        Ok(Some(bytes)) => bytes,
+        Ok(None) => return Err(ReadFailure::Broken),
         Err(_) => return Err(ReadFailure::TimedOut),
     };
     answer.connection.finish(node);
@@ -102,6 +104,24 @@
     Ok((caller_headers(parts.headers), bytes))
 }
 
+/// Reads a body to its end; `None` if it is broken, or larger than the VM can hold.
+async fn read_body(node: &EntryNode, body: Incoming) -> Option<Bytes> {
+    let mut charge = node.answer_memory.start_answer();
+    let mut body = Limited::new(body, ANSWER_LIMIT_BYTES);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else {
+            continue;
+        };
+        if !charge.add(data.len()) {
+            log::warn!("event=answer_memory_full bytes={}", bytes.len());
+            return None;
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Some(bytes.freeze())
+}
+
 /// Returns the headers for the caller, without those of the endpoint's connection.
 pub(super) fn caller_headers(headers: HeaderMap) -> HeaderMap {
     let mut kept = HeaderMap::with_capacity(headers.len());
--- a/crates/clementinepond_entry/src/http/connect.rs
+++ b/crates/clementinepond_entry/src/http/connect.rs
@@ -21,6 +21,9 @@
 /// Number of unanswered keep-alive probes after which the kernel closes a connection.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Maximum size of an answer's head, and of the buffer in which its body arrives.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Reason for which a connection could not be opened.
 #[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ConnectFailure {
@@ -64,6 +67,7 @@
     };
     tune_socket(&stream);
     let (sender, driver) = Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|_| ConnectFailure::Failed)?;
--- a/crates/clementinepond_entry/src/node/entry_node.rs
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -3,6 +3,7 @@
 use super::NodeStats;
 use super::placement::PlacementView;
 use super::run_update::RunOutbox;
+use crate::caller::AnswerMemory;
 use crate::endpoint::ConnectionPool;
 use crate::peer::PeerSocket;
 use crate::settings::EntrySettings;
@@ -109,6 +110,7 @@
     pub(crate) state: RefCell<NodeState>,
     pub(crate) pool: ConnectionPool,
     pub(crate) stats: NodeStats,
+    pub(crate) answer_memory: AnswerMemory,
     /// Time of the stop signal; `None` while the VM serves.
     pub(crate) stopping_since: Cell<Option<LocalTime>>,
     /// Wakes the watches and the fetches when a peer has sent its state.
@@ -160,6 +162,7 @@
             state: RefCell::new(state),
             pool: ConnectionPool::default(),
             stats: NodeStats::default(),
+            answer_memory: AnswerMemory::default(),
             stopping_since: Cell::new(None),
             peer_updated: Notify::new(),
             placement_changed: Notify::new(),
