--- a/crates/clementinepond_entry/src/http/call.rs
+++ b/crates/clementinepond_entry/src/http/call/mod.rs
@@ -1,6 +1,7 @@
 //! Small HTTP calls with a timeout, on a connection that is kept alive.
 
 use super::{Connection, open_connection};
+use crate::clock::BootClock;
 use bytes::{Bytes, BytesMut};
 use clementinepond_types::TimeSpan;
 use derive_more::{Display, Error};
@@ -10,11 +11,17 @@
 use hyper::{Method, Request, StatusCode};
 use std::net::SocketAddrV4;
 
+#[cfg(test)]
+mod tests;
+
 /// Maximum size of an answer; a page of a list is about a megabyte.
 const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
-/// Maximum pause within the body of an answer. Only pauses are limited, since a large body
-/// takes long over a narrow link.
+/// Maximum pause within the body of an answer. The whole time is not limited, since a large
+/// body takes long over a narrow link.
 const MAX_BODY_PAUSE: TimeSpan = TimeSpan::from_millis(700);
+/// Rate below which a body counts as one that trickles without end; a tenth of what the
+/// narrowest links leave for it.
+const MIN_BODY_BYTES_PER_S: u64 = 32 * 1024;
 /// Maximum time for opening a connection.
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
 
@@ -115,12 +122,17 @@
     }
 }
 
-/// Reads a body whose parts arrive with pauses of at most `pause`.
+/// Reads a body whose parts arrive with pauses of at most `pause`, and at the minimum rate
+/// after the first pause.
 async fn read_body(body: Incoming, pause: TimeSpan) -> Result<Bytes, CallFailure> {
     let mut body = Limited::new(body, ANSWER_LIMIT_BYTES);
     let mut bytes = BytesMut::new();
+    let started_at = BootClock::now();
     loop {
-        let frame = tokio::time::timeout(pause.duration(), body.frame())
+        let earned_ms = bytes.len() as u64 * 1_000 / MIN_BODY_BYTES_PER_S;
+        let slowest = started_at + pause + TimeSpan::from_millis(earned_ms);
+        let left = BootClock::now().until(slowest).min(pause);
+        let frame = tokio::time::timeout(left.duration(), body.frame())
             .await
             .map_err(|_| CallFailure::Timeout)?;
         match frame {
