--- a/crates/clementinepond/tests/entry/main.rs
+++ b/crates/clementinepond/tests/entry/main.rs
@@ -16,6 +16,7 @@
 mod peer_updates;
 mod refusals;
 mod request_path;
+mod store_restored;
 mod stream_versions;
 mod support;
 mod truncated_streams;
--- /dev/null
+++ b/crates/clementinepond/tests/entry/store_restored.rs
@@ -0,0 +1,101 @@
+//! A store that comes back from a copy: revisions go back and are given out again.
+
+use crate::support::{Deployment, EntryProcess, call_to, configuration, expect_answer, wait_until};
+use clementinepond_platform_standin::{CallOutcome, send_call};
+use serde_json::json;
+use std::time::Duration;
+
+/// Number of changes that the store loses.
+const LOST_CHANGES: u64 = 40;
+
+/// Time over which calls of the store are counted, and their maximum: ten a second and VM.
+const CALM_DURATION: Duration = Duration::from_secs(2);
+const MAX_CALM_CALLS: u64 = 40;
+
+/// Starts VMs whose store then goes back to a copy from before their start.
+async fn restored() -> (Deployment, Vec<EntryProcess>) {
+    let deployment = Deployment::start(2).await;
+    let copy = deployment.store.copy();
+    let entries = vec![deployment.entry("vm-1"), deployment.entry("vm-2")];
+    for entry in &entries {
+        entry.ready().await;
+    }
+    wait_until("a VM holds the placement lease", || {
+        let is_holder = |entry: &EntryProcess| entry.has_logged("event=duty_acquired");
+        entries.iter().any(is_holder)
+    })
+    .await;
+    deployment.store.put("config", "main", configuration(4));
+    for number in 0..LOST_CHANGES {
+        deployment.store.put("config", "other", json!(number));
+    }
+    wait_until("the VMs have the configuration", || {
+        let is_current = |entry: &EntryProcess| entry.has_logged("configuration_applied version=4");
+        entries.iter().all(is_current)
+    })
+    .await;
+    deployment.store.set_down(true);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    deployment.store.restore(&copy);
+    deployment.store.set_down(false);
+    // The operator writes again what was lost.
+    deployment.store.put("config", "main", configuration(4));
+    (deployment, entries)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_is_followed_after_the_store_came_back_from_a_copy() {
+    let (deployment, entries) = restored().await;
+    let before = deployment.store.calls();
+    tokio::time::sleep(CALM_DURATION).await;
+    let calls = deployment.store.calls() - before;
+    assert!(calls < MAX_CALM_CALLS, "{calls} calls in {CALM_DURATION:?}");
+    deployment.store.put("config", "main", configuration(5));
+    wait_until("every VM applies the next configuration", || {
+        let is_applied = |entry: &EntryProcess| entry.has_logged("configuration_applied version=5");
+        entries.iter().all(is_applied)
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_endpoint_is_noticed_after_the_store_came_back_from_a_copy() {
+    let (deployment, entries) = restored().await;
+    deployment.engines[0].drain();
+    for entry in &entries {
+        wait_until("every VM knows that the endpoint leaves", || {
+            entry.has_logged("endpoint=engines-0 change=Draining")
+        })
+        .await;
+        let call = call_to("/chat/one", Some("m0"));
+        let attempt = call.attempt.clone();
+        assert_eq!(expect_answer(send_call(entry.callers, call).await).0, 200);
+        assert_eq!(
+            deployment.checker.runs_of(&attempt)[0].endpoint,
+            "engines-1"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn vms_and_lease_are_written_again_after_the_store_came_back_from_a_copy() {
+    let (deployment, entries) = restored().await;
+    wait_until("the VMs' entries and the lease are in the store", || {
+        let has = |kind, name| deployment.store.spec(kind, name).is_some();
+        has("cpond-vms", "vm-1") && has("cpond-vms", "vm-2") && has("cpond-leases", "placement")
+    })
+    .await;
+    // An adapter that no engine holds is served only if the lease holder gives orders.
+    let mut is_served = false;
+    for _ in 0..60 {
+        let call = call_to("/chat/new", Some("m0/a1"));
+        let outcome = send_call(entries[0].callers, call).await;
+        if matches!(outcome, CallOutcome::Answer { status, .. } if status == 200) {
+            is_served = true;
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    assert!(is_served);
+    assert_eq!(deployment.checker.violations(), Vec::<String>::new());
+}
