--- a/crates/clementinepond_entry/src/http/call/mod.rs
+++ b/crates/clementinepond_entry/src/http/call/mod.rs
@@ -19,8 +19,10 @@
 /// Maximum pause within the body of an answer. The whole time is not limited, since a large
 /// body takes long over a narrow link.
 const MAX_BODY_PAUSE: TimeSpan = TimeSpan::from_millis(700);
-/// Rate below which a body counts as one that trickles without end; a tenth of what the
-/// narrowest links leave for it.
+/// Time after which a body must have arrived at the minimum rate, or it counts as one that
+/// trickles without end.
+const BODY_RATE_GRACE: TimeSpan = TimeSpan::from_secs(5);
+/// Minimum rate of a body; a tenth of what the narrowest links leave for it.
 const MIN_BODY_BYTES_PER_S: u64 = 32 * 1024;
 /// Maximum time for opening a connection.
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
@@ -123,14 +125,14 @@
 }
 
 /// Reads a body whose parts arrive with pauses of at most `pause`, and at the minimum rate
-/// after the first pause.
+/// after a grace period.
 async fn read_body(body: Incoming, pause: TimeSpan) -> Result<Bytes, CallFailure> {
     let mut body = Limited::new(body, ANSWER_LIMIT_BYTES);
     let mut bytes = BytesMut::new();
     let started_at = BootClock::now();
     loop {
         let earned_ms = bytes.len() as u64 * 1_000 / MIN_BODY_BYTES_PER_S;
-        let slowest = started_at + pause + TimeSpan::from_millis(earned_ms);
+        let slowest = started_at + BODY_RATE_GRACE + TimeSpan::from_millis(earned_ms);
         let left = BootClock::now().until(slowest).min(pause);
         let frame = tokio::time::timeout(left.duration(), body.frame())
             .await
