--- a/crates/clementinepond/tests/entry/configuration.rs
+++ b/crates/clementinepond/tests/entry/configuration.rs
@@ -169,3 +169,25 @@
     .await;
     assert_eq!(deployment.checker.violations(), Vec::<String>::new());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_store_is_not_waited_for_as_long_as_a_watch_after_it_was_lost() {
+    let deployment = Deployment::start(1).await;
+    let entry = deployment.entry("vm-1");
+    entry.ready().await;
+    deployment.store.set_silent(true);
+    for kind in ["config", "servers"] {
+        let lost = format!("event=store_lost kind={kind}");
+        wait_until("the VM has lost the store", || entry.has_logged(&lost)).await;
+    }
+    let before = deployment.store.unanswered_waits().len();
+    wait_until("the VM has tried again", || {
+        deployment.store.unanswered_waits().len() > before + 2
+    })
+    .await;
+    let waits = deployment.store.unanswered_waits();
+    assert!(
+        waits[before + 1..].iter().all(|wait| *wait == 0),
+        "{waits:?}"
+    );
+}
--- a/crates/clementinepond_entry/src/store/watch.rs
+++ b/crates/clementinepond_entry/src/store/watch.rs
@@ -81,7 +81,13 @@
                     .map(|page| (page, true)),
                 Some(from) => {
                     let from = from.max(node.known_revision(target));
-                    let watch = client.watch(target.kind(), from, WATCH_DURATION);
+                    // A call that a silent store has swallowed is never answered, so it must
+                    // not be one that may wait.
+                    let wait = match failing_since {
+                        Some(_) => TimeSpan::ZERO,
+                        None => WATCH_DURATION,
+                    };
+                    let watch = client.watch(target.kind(), from, wait);
                     watch.await.map(|page| (page, false))
                 }
             }
--- a/crates/clementinepond_soak/src/callers.rs
+++ b/crates/clementinepond_soak/src/callers.rs
@@ -1,6 +1,6 @@
 //! Callers that keep sending requests during the faults.
 
-use clementinepond_platform_standin::{CallOutcome, CallRequest, send_call};
+use clementinepond_platform_standin::{CallOutcome, CallRequest, Resumption, send_call};
 use hyper::Method;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -17,6 +17,8 @@
 pub(crate) struct CallRecord {
     pub(crate) attempt: String,
     pub(crate) is_stream: bool,
+    /// Events that earlier attempts brought; `None` for a new request.
+    pub(crate) brought_before: Option<String>,
     pub(crate) outcome: CallOutcome,
 }
 
@@ -62,15 +64,55 @@
         count += 1;
         let entry = entries[random.random_range(0..entries.len())];
         let (call, is_stream) = draw_call(&mut random, &attempt);
-        let outcome = send_call(entry, call).await;
-        let record = CallRecord {
-            attempt,
-            is_stream,
-            outcome,
-        };
-        log.lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(record);
+        let outcome = send_call(entry, call.clone()).await;
+        let resumption = resume(&call, &outcome);
+        record(&log, attempt, is_stream, None, outcome);
+        if let Some((call, brought_before)) = resumption {
+            let entry = entries[random.random_range(0..entries.len())];
+            let attempt = call.attempt.clone();
+            let outcome = send_call(entry, call).await;
+            record(&log, attempt, true, Some(brought_before), outcome);
+        }
         tokio::time::sleep(Duration::from_millis(random.random_range(5..40))).await;
     }
 }
+
+/// Returns the request that takes up a broken stream, and the events that the caller has;
+/// `None` if the stream cannot go on.
+fn resume(call: &CallRequest, outcome: &CallOutcome) -> Option<(CallRequest, String)> {
+    let CallOutcome::Broken { body } = outcome else {
+        return None;
+    };
+    let events = &body[..body.rfind("\n\n")? + 2];
+    if !call.path.starts_with("/batch/") {
+        return None;
+    }
+    let resumption = Resumption {
+        attempt: call.attempt.clone(),
+        last_event: u32::try_from(events.matches("\n\n").count()).ok()?,
+    };
+    let next = CallRequest {
+        attempt: format!("{}-resumed", call.attempt),
+        resumption: Some(resumption),
+        ..call.clone()
+    };
+    Some((next, events.to_owned()))
+}
+
+fn record(
+    log: &CallLog,
+    attempt: String,
+    is_stream: bool,
+    brought_before: Option<String>,
+    outcome: CallOutcome,
+) {
+    let record = CallRecord {
+        attempt,
+        is_stream,
+        brought_before,
+        outcome,
+    };
+    log.lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .push(record);
+}
--- a/crates/clementinepond_soak/src/deployment.rs
+++ b/crates/clementinepond_soak/src/deployment.rs
@@ -19,9 +19,11 @@
 pub(crate) const VMS: usize = 3;
 /// Number of engines in a run; the other endpoints serve no models and follow the
 /// engines in the order of endpoints.
-const ENGINES: usize = 2;
+const ENGINES: usize = 4;
 /// Number of endpoints in a run.
-pub(crate) const ENDPOINTS: usize = 4;
+pub(crate) const ENDPOINTS: usize = 6;
+/// Software versions of the endpoints, in turn.
+pub(crate) const SOFTWARE_VERSIONS: [&str; 2] = ["v1", "v2"];
 
 /// Deployment of a run.
 #[derive(Debug)]
@@ -59,7 +61,7 @@
                 id: format!("endpoint-{index}"),
                 service: if is_engine { "engines" } else { "files" }.into(),
                 data_centre: "dc-a".into(),
-                software: "v1".into(),
+                software: SOFTWARE_VERSIONS[index % SOFTWARE_VERSIONS.len()].into(),
                 models: if is_engine {
                     vec!["m0".into()]
                 } else {
