--- a/crates/clementinepond_dispatch/src/peer/origin_holders.rs
+++ b/crates/clementinepond_dispatch/src/peer/origin_holders.rs
@@ -25,18 +25,11 @@
         me: &VmId,
         data_centre: &DataCentreId,
     ) -> Vec<VmId> {
-        if self.is_small_fleet() {
-            return self.all().map(|(vm, _)| vm.clone()).collect();
-        }
-        let mut holders = self.first_holders(key, Some(me), data_centre, LOCAL_HOLDERS);
         let remote = self
             .other_data_centres(data_centre)
             .into_iter()
             .max_by_key(|other| rendezvous_weight(key.number(), other.as_str()));
-        if let Some(remote) = remote {
-            holders.extend(self.first_holders(key, None, &remote, REMOTE_HOLDERS));
-        }
-        holders
+        self.holders_in(key, me, data_centre, remote, REMOTE_HOLDERS)
     }
 
     /// Returns the peers that a VM of a data centre asks for the origin of a stream, which
@@ -48,18 +41,28 @@
         me: &VmId,
         data_centre: &DataCentreId,
     ) -> Vec<VmId> {
-        if self.is_small_fleet() {
+        let others = self.other_data_centres(data_centre);
+        self.holders_in(key, me, data_centre, others, LOCAL_HOLDERS)
+    }
+
+    /// Returns the holders in this VM's data centre and `count` in each of the others; all
+    /// peers in a small fleet.
+    fn holders_in(
+        &self,
+        key: StreamKey,
+        me: &VmId,
+        data_centre: &DataCentreId,
+        others: impl IntoIterator<Item = DataCentreId>,
+        count: usize,
+    ) -> Vec<VmId> {
+        if self.all().count() < SMALL_FLEET_MAX_VMS {
             return self.all().map(|(vm, _)| vm.clone()).collect();
         }
-        let mut sources = self.first_holders(key, Some(me), data_centre, LOCAL_HOLDERS);
-        for other in self.other_data_centres(data_centre) {
-            sources.extend(self.first_holders(key, None, &other, LOCAL_HOLDERS));
+        let mut holders = self.first_holders(key, Some(me), data_centre, LOCAL_HOLDERS);
+        for other in others {
+            holders.extend(self.first_holders(key, None, &other, count));
         }
-        sources
-    }
-
-    fn is_small_fleet(&self) -> bool {
-        self.all().count() < SMALL_FLEET_MAX_VMS
+        holders
     }
 
     fn other_data_centres(&self, own: &DataCentreId) -> BTreeSet<DataCentreId> {
--- a/crates/clementinepond_entry/src/caller/endpoint_search.rs
+++ b/crates/clementinepond_entry/src/caller/endpoint_search.rs
@@ -181,7 +181,7 @@
             match outcome {
                 SendOutcome::Answered(answer) => {
                     let answer = *answer;
-                    if !is_refusal(&answer) {
+                    if !answer.is_refusal() {
                         return self.accept_answer(answer, picked, sent_at);
                     }
                     self.arrivals += 1;
@@ -497,8 +497,3 @@
             .map_or("-", |id| id.as_str())
     }
 }
-
-/// Returns whether the endpoint states that the request has not run.
-fn is_refusal(answer: &AttemptAnswer) -> bool {
-    answer.mark.is_not_run || answer.response.status() == StatusCode::MISDIRECTED_REQUEST
-}
--- a/crates/clementinepond_entry/src/endpoint/attempt.rs
+++ b/crates/clementinepond_entry/src/endpoint/attempt.rs
@@ -14,7 +14,7 @@
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, EXPECT, HeaderMap, TRANSFER_ENCODING};
-use hyper::{Method, Request, Response, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
@@ -54,6 +54,13 @@
     pub(crate) connection: AnswerConnection,
 }
 
+impl AttemptAnswer {
+    /// Returns whether the endpoint states that the request has not run.
+    pub(crate) fn is_refusal(&self) -> bool {
+        self.mark.is_not_run || self.response.status() == StatusCode::MISDIRECTED_REQUEST
+    }
+}
+
 /// Connection of an answer, returned to the pool when the answer is complete.
 #[derive(Debug)]
 pub(crate) struct AnswerConnection {
