--- a/crates/clementinepond/tests/entry/truncated_streams.rs
+++ b/crates/clementinepond/tests/entry/truncated_streams.rs
@@ -173,3 +173,23 @@
     assert!(answer.contains(" 400 "), "{answer}");
     assert!(deployment.checker.runs_of("old-1").is_empty());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_whose_events_have_no_ids_is_not_begun_again_after_a_break() {
+    let deployment = Deployment::start(0).await;
+    let script = |request: &RawRequest| {
+        framed(
+            Framing::Connection,
+            request,
+            "data: one\n\ndata: two\n\ndata: th",
+        )
+    };
+    let options = |id| endpoint_options("engines", id, &["m0"]);
+    let _first = deployment.raw_endpoint(options("raw-0"), script).await;
+    let _second = deployment.raw_endpoint(options("raw-1"), script).await;
+    let entry = deployment.entry("vm-1");
+    entry.ready().await;
+    let outcome = send_call(entry.callers, call_to("/batch/cut", Some("m0"))).await;
+    let body = "data: one\n\ndata: two\n\n".to_owned();
+    assert_eq!(outcome, CallOutcome::Broken { body });
+}
--- a/crates/clementinepond_entry/src/caller/event_reader.rs
+++ b/crates/clementinepond_entry/src/caller/event_reader.rs
@@ -10,6 +10,15 @@
 /// its streams.
 const EVENT_LIMIT_BYTES: usize = 256 * 1024;
 
+/// Point from which a stream goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StreamPosition {
+    /// Its beginning.
+    Start,
+    /// After the event with this identifier.
+    After(u64),
+}
+
 /// Reader of one answer of a stream.
 #[derive(Debug)]
 pub(super) struct EventReader {
@@ -20,7 +29,7 @@
     /// Whether an event was complete.
     has_event: bool,
     /// Identifier of the last complete event that has one.
-    pub(super) last_id: Option<u64>,
+    last_id: Option<u64>,
 }
 
 impl EventReader {
@@ -48,6 +57,16 @@
         Some(events)
     }
 
+    /// Returns where a stream goes on that had reached `before` when the answer began, or
+    /// `None` if events without identifiers were relayed.
+    pub(super) const fn position_after(&self, before: StreamPosition) -> Option<StreamPosition> {
+        match (self.last_id, self.has_event) {
+            (Some(id), _) => Some(StreamPosition::After(id)),
+            (None, false) => Some(before),
+            (None, true) => None,
+        }
+    }
+
     /// Returns whether the incomplete event exceeds the maximum size.
     pub(super) const fn is_overlong(&self) -> bool {
         self.scanner.open_event_bytes() > EVENT_LIMIT_BYTES
--- a/crates/clementinepond_entry/src/caller/stream.rs
+++ b/crates/clementinepond_entry/src/caller/stream.rs
@@ -4,7 +4,7 @@
 use super::answer_body::{AnswerBody, BodyPart};
 use super::crash_probe::suspect_crash;
 use super::endpoint_search::{EndpointSearch, StartedAnswer};
-use super::event_reader::EventReader;
+use super::event_reader::{EventReader, StreamPosition};
 use super::local_answer::LocalAnswer;
 use super::request_end::{RequestEnd, StreamRecord};
 use super::unary::{ReadFailure, caller_headers, read_complete};
@@ -40,13 +40,17 @@
         log_resumption(&request, &started.picked, request.profile.resume_after);
     }
     let headers = caller_headers(started.answer.response.headers().clone());
+    let position = request
+        .profile
+        .resume_after
+        .map_or(StreamPosition::Start, StreamPosition::After);
     let (parts, body) = mpsc::channel(MAX_BUFFERED_PARTS);
     let relay = StreamRelay {
         node: Rc::clone(node),
         request,
         search,
         parts,
-        last_id: None,
+        position: Some(position),
         is_origin_announced: false,
         has_started: false,
         record: StreamRecord {
@@ -142,8 +146,8 @@
     request: Rc<AdmittedRequest>,
     search: EndpointSearch,
     parts: mpsc::Sender<BodyPart>,
-    /// Identifier of the last event that was relayed, if the stream may be resumed.
-    last_id: Option<u64>,
+    /// Point from which the stream goes on; `None` if it cannot.
+    position: Option<StreamPosition>,
     is_origin_announced: bool,
     /// Whether the first chunk of the first answer has arrived.
     has_started: bool,
@@ -195,11 +199,14 @@
 
     /// Resumes an interrupted stream at another endpoint, if that is allowed.
     async fn resume(&mut self) -> Option<StartedAnswer> {
+        let position = self.position?;
         if !is_resumable(&self.request) || !self.search.take_retry() {
             return None;
         }
         self.search.silent_since = BootClock::now();
-        self.search.resume_after = self.last_id.or(self.search.resume_after);
+        if let StreamPosition::After(id) = position {
+            self.search.resume_after = Some(id);
+        }
         let search = self.search.run();
         let started = tokio::select! {
             () = self.parts.closed() => return None,
@@ -224,7 +231,9 @@
         let end = self
             .copy_body(&mut body, &mut events, &picked, sent_at)
             .await;
-        self.last_id = events.last_id.or(self.last_id);
+        self.position = self
+            .position
+            .and_then(|before| events.position_after(before));
         self.record.open_event_bytes = events.open_event_bytes();
         if end == RelayEnd::Complete {
             answer.connection.finish(&self.node);
