--- a/crates/clementinepond_dispatch/src/peer/peer_table.rs
+++ b/crates/clementinepond_dispatch/src/peer/peer_table.rs
@@ -218,14 +218,25 @@
     /// Returns the live peers: those that have sent a heartbeat and were in contact
     /// within the liveness timeout.
     pub fn live(&self, now: LocalTime) -> impl Iterator<Item = (&VmId, &PeerState)> {
-        let peers = self.peers.len() as u64;
-        let timeout =
-            LIVENESS_TIMEOUT.fraction(TIMEOUT_DOUBLING_PEERS + peers, TIMEOUT_DOUBLING_PEERS);
+        let timeout = self.liveness_timeout();
         self.peers.iter().filter(move |(_, peer)| {
             peer.heartbeat.is_some() && now.since(peer.last_seen) < timeout
         })
     }
 
+    /// Returns whether a peer may be live: it was in contact, or became known, within the
+    /// liveness timeout.
+    #[must_use]
+    pub fn may_be_live(&self, vm: &VmId, now: LocalTime) -> bool {
+        let peer = self.peers.get(vm);
+        peer.is_some_and(|peer| now.since(peer.last_seen) < self.liveness_timeout())
+    }
+
+    fn liveness_timeout(&self) -> TimeSpan {
+        let peers = self.peers.len() as u64;
+        LIVENESS_TIMEOUT.fraction(TIMEOUT_DOUBLING_PEERS + peers, TIMEOUT_DOUBLING_PEERS)
+    }
+
     /// Returns the rank of a VM among the watcher candidates of its data centre; 0 is
     /// first.
     ///
--- a/crates/clementinepond_dispatch/tests/stream_origins.rs
+++ b/crates/clementinepond_dispatch/tests/stream_origins.rs
@@ -129,6 +129,7 @@
     let mut table = OriginTable::default();
     assert!(table.record(key(1), origin("v1"), at(1_000)));
     assert!(table.record(key(1), origin("v2"), at(5_000)));
+    assert!(table.record(key(1), origin("v2"), at(2_000)));
     let (known, _) = table.get(key(1), at(4_999)).unwrap();
     assert_eq!(*known, origin("v1"));
     assert!(table.get(key(1), at(5_000)).is_none());
--- a/crates/clementinepond_entry/src/node/stream_origin.rs
+++ b/crates/clementinepond_entry/src/node/stream_origin.rs
@@ -83,9 +83,10 @@
             let sources = state
                 .peers
                 .origin_sources(key, &settings.vm, &settings.data_centre);
-            let live = state.peers.live(now).map(|(vm, _)| vm);
-            let awaited = live.filter(|vm| sources.contains(vm)).cloned();
-            state.origins.ask(key, awaited.collect(), now);
+            let peers = &state.peers;
+            let awaited = sources.iter().filter(|vm| peers.may_be_live(vm, now));
+            let awaited = awaited.cloned().collect();
+            state.origins.ask(key, awaited, now);
             sources
         };
         self.send_to_each(PeerMessage::StreamOriginQuery { key }, &sources);
