--- a/crates/clementinepond_entry/src/store/presence.rs
+++ b/crates/clementinepond_entry/src/store/presence.rs
@@ -65,10 +65,14 @@
     }
 }
 
-/// Waits until the directory is of a later era, in which the VMs' entries may be lost.
+/// Waits until the directory is of a later era, in which the VMs' entries may be lost, and
+/// for at least one interval, since peers may know the era while the store fails.
 async fn later_era(node: &EntryNode, era: u64) {
-    while era_of(node.known_revision(WatchTarget::Endpoints)) <= era {
+    loop {
         tokio::time::sleep(ERA_CHECK_INTERVAL.duration()).await;
+        if era_of(node.known_revision(WatchTarget::Endpoints)) > era {
+            return;
+        }
     }
 }
 
