--- a/crates/clementinepond/tests/entry/endless_answers.rs
+++ b/crates/clementinepond/tests/entry/endless_answers.rs
@@ -5,7 +5,8 @@
     CallOutcome, RawEndpoint, RawRequest, RawStep, raw_head, send_call,
 };
 
-/// Number of requests that get endless answers at the same time.
+/// Number of concurrent requests for each of the service's three endpoints, one of which
+/// sends endless answers.
 const CONCURRENT: usize = 24;
 /// Maximum memory of a VM meanwhile; a small VM has 260 MB.
 const MEMORY_LIMIT_KB: u64 = 130 * 1024;
--- a/crates/clementinepond/tests/entry/truncated_streams.rs
+++ b/crates/clementinepond/tests/entry/truncated_streams.rs
@@ -35,8 +35,7 @@
     vec![RawStep::Write(bytes), RawStep::Close]
 }
 
-/// Starts an engine whose streams end within the event after `complete` ones, unless they
-/// resume.
+/// Starts an engine whose streams end within their fourth event, unless they resume.
 async fn truncating_engine(deployment: &Deployment, id: &str, framing: Framing) -> RawEndpoint {
     let options = endpoint_options("engines", id, &["m0"]);
     let script = move |request: &RawRequest| {
