--- a/crates/clementinepond/src/command/entry_log_event.rs
+++ b/crates/clementinepond/src/command/entry_log_event.rs
@@ -66,7 +66,7 @@
     ),
     event(
         "crash_suspected",
-        "endpoint fingerprint count",
+        "request endpoint fingerprint blocks count",
         "an endpoint refused connections after it lost a request, which may have crashed it; `count` is the number of crashes of this fingerprint",
     ),
     event(
--- a/crates/clementinepond_entry/src/caller/endpoint_search.rs
+++ b/crates/clementinepond_entry/src/caller/endpoint_search.rs
@@ -374,7 +374,7 @@
         );
         self.record_failure(&picked.id, EndpointOutcome::Broken);
         if matches!(outcome, SendOutcome::Failed(AttemptFailure::Broken)) {
-            suspect_crash(&self.node, self.request.fingerprint, picked);
+            suspect_crash(&self.node, &self.request, picked);
         }
         if self.request.may_retry() && self.take_retry() {
             return Ok(None);
--- a/crates/clementinepond_entry/src/caller/stream.rs
+++ b/crates/clementinepond_entry/src/caller/stream.rs
@@ -169,7 +169,7 @@
                 RelayEnd::Complete => self.node.record_outcome(&id, EndpointOutcome::Success),
                 RelayEnd::Broken => {
                     self.search.record_failure(&id, EndpointOutcome::Broken);
-                    suspect_crash(&self.node, self.request.fingerprint, &picked);
+                    suspect_crash(&self.node, &self.request, &picked);
                     drop(picked);
                     if let Some(next) = self.resume().await {
                         current = next;
