--- a/crates/clementinepond/tests/entry/main.rs
+++ b/crates/clementinepond/tests/entry/main.rs
@@ -9,6 +9,7 @@
 mod broken_answers;
 mod caller_disconnects;
 mod configuration;
+mod crashing_prompts;
 mod endless_answers;
 mod fake_peers;
 mod graceful_shutdown;
--- a/crates/clementinepond_soak/src/callers.rs
+++ b/crates/clementinepond_soak/src/callers.rs
@@ -1,6 +1,8 @@
 //! Callers that keep sending requests during the faults.
 
-use clementinepond_platform_standin::{CallOutcome, CallRequest, Resumption, send_call};
+use clementinepond_platform_standin::{
+    CallOutcome, CallRequest, Resumption, SAMPLE_PROMPT, send_call,
+};
 use hyper::Method;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -42,6 +44,7 @@
         attempt: attempt.into(),
         key: Some("key-of-desk".into()),
         model: model.map(str::to_owned),
+        prompt: SAMPLE_PROMPT.into(),
         timeout: CALL_TIMEOUT,
         body: attempt.as_bytes().to_vec(),
         resumption: None,
--- a/crates/clementinepond_soak/src/deployment.rs
+++ b/crates/clementinepond_soak/src/deployment.rs
@@ -71,6 +71,7 @@
                 events: STREAM_EVENTS,
                 event_delay: Duration::from_millis(10),
                 at_most_once_prefix: "/chat/".into(),
+                downtime: Duration::ZERO,
             };
             let endpoint =
                 StandinEndpoint::start(any, options, &deployment.store, &deployment.checker)
