--- a/crates/clementinepond_dispatch/src/suspect/crash_guard.rs
+++ b/crates/clementinepond_dispatch/src/suspect/crash_guard.rs
@@ -188,6 +188,13 @@
         SendVerdict::Alone(on_trial)
     }
 
+    /// Returns whether one of the suspects is blocked.
+    #[must_use]
+    pub fn is_blocked(&self, suspects: &[CrashSuspect]) -> bool {
+        let mut suspects = suspects.iter();
+        suspects.any(|suspect| self.blocked.get(*suspect).is_some())
+    }
+
     /// Records that a request with a blocked suspect was refused, which keeps it blocked;
     /// returns whether the peers should learn of it.
     pub fn record_refusal(&mut self, suspect: CrashSuspect, now: LocalTime) -> bool {
--- a/crates/clementinepond_entry/src/caller/endpoint_search.rs
+++ b/crates/clementinepond_entry/src/caller/endpoint_search.rs
@@ -214,6 +214,16 @@
                 SendOutcome::Failed(_) | SendOutcome::Silent => {
                     return self.handle_lost(&picked, outcome, sent_at).await;
                 }
+                SendOutcome::Withdrawn => {
+                    log::info!(
+                        "event=attempt_lost request={} endpoint={} outcome={} sent={}",
+                        self.request_id(),
+                        picked.id,
+                        outcome.name(),
+                        self.sent
+                    );
+                    return Err(LocalAnswer::Lost("crashes_endpoints"));
+                }
                 SendOutcome::TimedOut => {
                     self.node
                         .record_outcome(&picked.id, EndpointOutcome::Broken);
@@ -249,7 +259,13 @@
         let left = BootClock::now().until(request.deadline);
         let silence = self.silence_timeout(picked, left);
         let attempt = start_attempt(&self.node, attempt);
-        match tokio::time::timeout(silence.unwrap_or(left).duration(), attempt).await {
+        let sent = tokio::time::timeout(silence.unwrap_or(left).duration(), attempt);
+        let sent = tokio::select! {
+            sent = sent => sent,
+            // An endpoint that has queued the request drops it, and does not crash.
+            () = self.node.await_block(&request.suspects) => return SendOutcome::Withdrawn,
+        };
+        match sent {
             Ok(Ok(answer)) => SendOutcome::Answered(Box::new(answer)),
             Ok(Err(failure)) => SendOutcome::Failed(failure),
             Err(_) if silence.is_some() => SendOutcome::Silent,
--- a/crates/clementinepond_entry/src/caller/send_outcome.rs
+++ b/crates/clementinepond_entry/src/caller/send_outcome.rs
@@ -13,6 +13,8 @@
     Silent,
     /// No answer arrived before the request's deadline.
     TimedOut,
+    /// The request was withdrawn before its answer, since requests like it crash endpoints.
+    Withdrawn,
 }
 
 impl SendOutcome {
@@ -24,6 +26,7 @@
             Self::Failed(_) => "broken",
             Self::Silent => "silent",
             Self::TimedOut => "timed_out",
+            Self::Withdrawn => "withdrawn",
         }
     }
 }
--- a/crates/clementinepond_entry/src/node/crash_guard.rs
+++ b/crates/clementinepond_entry/src/node/crash_guard.rs
@@ -203,12 +203,14 @@
                     "event=suspect_blocked suspect={suspect} source=evidence crashes={crashes} loss_percent={loss_percent}"
                 );
                 increment(&self.stats.suspects_blocked);
+                self.suspect_blocked.notify_waiters();
                 self.broadcast(self.blocked_message(true, now));
                 self.record_unstored(suspect, true);
             }
             CrashEffect::Adopted(suspect) => {
                 log::warn!("event=suspect_blocked suspect={suspect} source=peer_or_store");
                 increment(&self.stats.suspects_blocked);
+                self.suspect_blocked.notify_waiters();
             }
             CrashEffect::Unblocked(suspect) => {
                 log::warn!("event=suspect_unblocked suspect={suspect}");
@@ -245,6 +247,18 @@
         verdict
     }
 
+    /// Waits until one of the suspects is blocked.
+    pub(crate) async fn await_block(&self, suspects: &[CrashSuspect]) {
+        loop {
+            let mut blocked = std::pin::pin!(self.suspect_blocked.notified());
+            blocked.as_mut().enable();
+            if self.state.borrow().crash_guard.is_blocked(suspects) {
+                return;
+            }
+            blocked.await;
+        }
+    }
+
     /// Marks suspects as having a request in flight; `None` if one has another already.
     pub(crate) fn start_trial(
         self: &Rc<Self>,
--- a/crates/clementinepond_entry/src/node/entry_node.rs
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -128,6 +128,8 @@
     pub(crate) origin_updated: Notify,
     /// Wakes the task that plans placement and sends orders.
     pub(crate) orders_due: Notify,
+    /// Wakes requests in flight when a suspect is blocked.
+    pub(crate) suspect_blocked: Notify,
     /// Wakes the task that stores blocked suspects.
     pub(crate) blocks_changed: Notify,
     pub(crate) socket: OnceCell<Rc<PeerSocket>>,
@@ -181,6 +183,7 @@
             placement_changed: Notify::new(),
             origin_updated: Notify::new(),
             orders_due: Notify::new(),
+            suspect_blocked: Notify::new(),
             blocks_changed: Notify::new(),
             socket: OnceCell::new(),
         }
