--- a/crates/clementinepond/tests/entry/crashing_prompts.rs
+++ b/crates/clementinepond/tests/entry/crashing_prompts.rs
@@ -370,6 +370,49 @@
     assert_eq!(engine.crashes(), 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_between_two_events_of_an_unframed_stream_is_no_completion() {
+    let deployment = Deployment::start(0).await;
+    let mut engines = Vec::new();
+    for index in 0..6 {
+        let options = endpoint_options("engines", &format!("raw-{index}"), &["m0"]);
+        let script = |request: &RawRequest| {
+            let mut steps = vec![RawStep::Write(raw_head(request, ""))];
+            let events = if has_crashing_block(&request.prompt) {
+                1..=3
+            } else {
+                1..=8
+            };
+            for id in events {
+                steps.push(RawStep::Write(stream_events(id..=id).into_bytes()));
+                steps.push(RawStep::Pause(EVENT_INTERVAL));
+            }
+            steps.push(if has_crashing_block(&request.prompt) {
+                RawStep::Crash
+            } else {
+                RawStep::Close
+            });
+            steps
+        };
+        engines.push(deployment.raw_endpoint(options, script).await);
+    }
+    let entries = ready_vms(&deployment, 2).await;
+    let vms = addresses(&entries);
+    let warm_up = send_calls(&vms, 90, Duration::from_millis(20), sound_call).await;
+    assert_eq!(warm_up.figures(), (90, 90));
+    let crashing = |_| unique_call("/chat/crashing", &[SHARED_BLOCK, CRASHING_BLOCK]);
+    tokio::join!(
+        send_calls(&vms, 40, Duration::from_millis(150), crashing),
+        send_calls(&vms, 150, Duration::from_millis(40), sound_call),
+    );
+    assert_few_late_runs(&deployment);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let (sent, served) = send_calls(&vms, 40, Duration::from_millis(20), sound_call)
+        .await
+        .figures();
+    assert!(served * 10 >= sent * 9, "{served} of {sent} served");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn blocked_block_in_the_store_is_followed_until_an_operator_deletes_it() {
     let deployment = Deployment::start(1).await;
--- a/crates/clementinepond_dispatch/src/suspect/crash_guard.rs
+++ b/crates/clementinepond_dispatch/src/suspect/crash_guard.rs
@@ -201,13 +201,19 @@
         self.blocked.record_request(suspect, now)
     }
 
-    /// Returns whether the completion of a request would clear one of its suspects.
+    /// Returns whether it must be certain that a request completed: there is evidence against
+    /// one of its suspects, it has no shared block, or one that is not known to be sound.
     #[must_use]
-    pub fn has_evidence(&self, suspects: &[CrashSuspect]) -> bool {
-        !self.evidence.is_empty()
-            && suspects
-                .iter()
-                .any(|suspect| self.evidence.strength(*suspect).is_some())
+    pub fn needs_proof(&self, suspects: &[CrashSuspect]) -> bool {
+        let mut all = suspects.iter().copied();
+        let has_evidence = !self.evidence.is_empty()
+            && all.any(|suspect| self.evidence.strength(suspect).is_some());
+        let mut blocks = suspects
+            .iter()
+            .copied()
+            .filter(|suspect| matches!(suspect, CrashSuspect::Block(_)))
+            .peekable();
+        has_evidence || blocks.peek().is_none() || blocks.any(|block| !self.is_proven(block))
     }
 
     /// Returns the blocked suspects.
--- a/crates/clementinepond_entry/src/caller/crash_probe.rs
+++ b/crates/clementinepond_entry/src/caller/crash_probe.rs
@@ -111,11 +111,13 @@
         node.apply_completion(request.suspects.clone());
         return;
     }
-    let has_evidence = {
+    let needs_proof = {
         let state = node.state.borrow();
-        state.crash_guard.has_evidence(&request.suspects)
+        state.crash_guard.needs_proof(&request.suspects)
     };
-    if !has_evidence {
+    if !needs_proof {
+        // It only counts as one of the VM's requests.
+        node.apply_completion(Box::default());
         return;
     }
     let (node, request) = (Rc::clone(node), Rc::clone(request));
