--- a/crates/clementinepond_dispatch/src/select/prefix_cache_index.rs
+++ b/crates/clementinepond_dispatch/src/select/prefix_cache_index.rs
@@ -38,12 +38,11 @@
     ) {
         let cached = self.endpoints.entry(endpoint).or_default();
         for block in blocks {
-            let before = cached
-                .blocks
-                .insert((weights, block.id), (block.tokens, now));
-            if before.is_none() {
-                cached.tokens += block.tokens;
-            }
+            // Callers state the length, and may state another one each time.
+            let tokens = block.tokens.min(capacity);
+            let before = cached.blocks.insert((weights, block.id), (tokens, now));
+            cached.tokens += tokens;
+            cached.tokens -= before.map_or(0, |(tokens, _)| tokens);
         }
         if cached.tokens > capacity {
             cached.evict(capacity);
@@ -65,8 +64,7 @@
         blocks
             .iter()
             .take_while(|block| cached.blocks.contains_key(&(weights, block.id)))
-            .map(|block| block.tokens)
-            .sum()
+            .fold(0, |sum: u64, block| sum.saturating_add(block.tokens))
     }
 
     /// Removes an endpoint whose cache was lost.
