--- a/crates/clementinepond_dispatch/src/suspect/completion_log.rs
+++ b/crates/clementinepond_dispatch/src/suspect/completion_log.rs
@@ -9,7 +9,7 @@
 /// two of these.
 const GENERATION_DURATION: TimeSpan = TimeSpan::from_secs(600);
 /// Number of suspects at which a generation becomes the older one early; bounds the memory.
-const MAX_GENERATION_SUSPECTS: usize = 8_192;
+const MAX_GENERATION_SUSPECTS: usize = 4_096;
 
 /// Time for which completions are counted.
 pub(super) const COUNTED_DURATION: TimeSpan = TimeSpan::from_secs(30);
--- a/crates/clementinepond_entry/src/node/crash_guard.rs
+++ b/crates/clementinepond_entry/src/node/crash_guard.rs
@@ -8,8 +8,9 @@
 use clementinepond_dispatch::suspect::{
     BlockedSuspect, CrashEffect, CrashEvent, CrashSuspect, EndpointCrash, LostRun, SendVerdict,
 };
-use clementinepond_types::{LocalTime, TimeSpan};
+use clementinepond_types::{LocalTime, TimeSpan, VmId};
 use fnv::FnvHashSet;
+use rand::RngExt;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
@@ -17,6 +18,10 @@
 /// has all of them.
 const SYNC_INTERVAL: TimeSpan = TimeSpan::from_millis(100);
 
+/// Maximum number of peers to which a VM sends its digest at each heartbeat; each VM gets
+/// about as many, so that one that was cut off soon gets the first.
+const MAX_DIGEST_RECIPIENTS: usize = 12;
+
 /// Changes of the blocked suspects that are not in the store yet.
 #[derive(Debug, Default)]
 pub(crate) struct UnstoredBlocks {
@@ -146,12 +151,23 @@
         self.send_to(self.blocked_message(false, now), sender);
     }
 
-    /// Sends the digest of this VM's blocked suspects to the peers, unless there are none.
+    /// Sends the digest of this VM's blocked suspects to some peers, all of them in a small
+    /// fleet, unless there are none.
     pub(crate) fn announce_blocked_digest(&self) {
         let digest = self.state.borrow().crash_guard.digest();
-        if digest != 0 {
-            self.broadcast(PeerMessage::BlockedDigest { digest });
+        if digest == 0 {
+            return;
+        }
+        let mut peers: Vec<VmId> = {
+            let state = self.state.borrow();
+            state.peers.all().map(|(vm, _)| vm.clone()).collect()
+        };
+        if peers.len() > MAX_DIGEST_RECIPIENTS {
+            let start = rand::rng().random_range(0..peers.len());
+            peers.rotate_left(start);
+            peers.truncate(MAX_DIGEST_RECIPIENTS);
         }
+        self.send_to_each(PeerMessage::BlockedDigest { digest }, &peers);
     }
 
     fn blocked_message(&self, is_reply: bool, now: LocalTime) -> PeerMessage {
