--- a/crates/clementinepond/tests/entry/main.rs
+++ b/crates/clementinepond/tests/entry/main.rs
@@ -6,9 +6,11 @@
     reason = "a test stops at the first error"
 )]
 
+mod blocked_suspects;
 mod broken_answers;
 mod caller_disconnects;
 mod configuration;
+mod crash_support;
 mod crashing_prompts;
 mod endless_answers;
 mod fake_peers;
