--- a/crates/clementinepond_dispatch/src/suspect/crash_guard.rs
+++ b/crates/clementinepond_dispatch/src/suspect/crash_guard.rs
@@ -306,7 +306,11 @@
         if self.is_proven(suspect) {
             return None;
         }
-        let paused = self.evidence.strength(suspect).map(|strength| {
+        // A request that was lost once is sent again at once if its blocks are sound.
+        let is_request = matches!(suspect, CrashSuspect::Request(_));
+        let strength = self.evidence.strength(suspect);
+        let strength = strength.filter(|strength| strength.crashes > 1 || !is_request);
+        let paused = strength.map(|strength| {
             let doublings = strength.crashes.saturating_sub(1).min(MAX_DOUBLINGS);
             strength.last_at + MIN_PAUSE.fraction(1 << doublings, 1).min(MAX_PAUSE)
         });
--- a/crates/clementinepond_dispatch/tests/suspects.rs
+++ b/crates/clementinepond_dispatch/tests/suspects.rs
@@ -385,6 +385,22 @@
     assert_eq!(vm.verdict(&[CULPRIT, SHARED]), SendVerdict::Allowed);
 }
 
+#[test]
+fn request_whose_blocks_are_sound_is_sent_again_at_once_after_its_first_crash() {
+    let mut vm = Vm::new();
+    let run = vm.run(&[SHARED]);
+    let suspects = run.suspects.clone();
+    vm.crash_of(vec![run.clone()], true);
+    assert_eq!(
+        vm.verdict(&suspects),
+        SendVerdict::Alone([suspects[0]].into())
+    );
+    vm.wait(1_000);
+    let sent_at = vm.now;
+    vm.crash_of(vec![LostRun { sent_at, ..run }], true);
+    assert!(matches!(vm.verdict(&suspects), SendVerdict::Held { .. }));
+}
+
 fn blocked_at(suspect: CrashSuspect, at: LocalTime) -> CrashEvent {
     CrashEvent::BlocksLearned {
         blocked: vec![BlockedSuspect {
