--- a/crates/clementinepond_dispatch/src/directory/mod.rs
+++ b/crates/clementinepond_dispatch/src/directory/mod.rs
@@ -60,6 +60,7 @@
 #[derive(Debug, Default)]
 pub struct EndpointDirectory {
     endpoints: BTreeMap<EndpointId, KnownEndpoint>,
+    /// Start of the latest incarnation of each endpoint that was seen draining.
     draining: FnvHashMap<EndpointId, u64>,
     store_returned_at: Option<LocalTime>,
     software: SoftwareHistory,
@@ -90,7 +91,8 @@
     /// description is of an earlier incarnation.
     pub fn update(&mut self, mut entry: EndpointEntry, now: LocalTime) -> EndpointChange {
         let id = entry.id.clone();
-        if self.draining.get(&id) == Some(&entry.started_ms) {
+        let drained = self.draining.get(&id);
+        if drained.is_some_and(|started_ms| entry.started_ms <= *started_ms) {
             entry.phase = EndpointPhase::Draining;
         } else if entry.phase == EndpointPhase::Draining {
             self.draining.insert(id.clone(), entry.started_ms);
--- a/crates/clementinepond_dispatch/tests/directory.rs
+++ b/crates/clementinepond_dispatch/tests/directory.rs
@@ -31,6 +31,30 @@
     assert_eq!(usable(&directory, 50), 1);
 }
 
+#[test]
+fn draining_entry_of_an_earlier_incarnation_does_not_bring_a_later_one_back() {
+    let id = "e1".parse().unwrap();
+    for is_swept in [false, true] {
+        let mut directory = EndpointDirectory::default();
+        let mut earlier = entry("e1", &[]);
+        earlier.phase = EndpointPhase::Draining;
+        let mut later = entry("e1", &[]);
+        later.started_ms += 1;
+        directory.update(later.clone(), at(0));
+        let mut leaving = later.clone();
+        leaving.phase = EndpointPhase::Draining;
+        directory.update(leaving, at(10));
+        if is_swept {
+            directory.remove(&id, at(20));
+            directory.sweep(at(5_000));
+        }
+        // Outdated entries arrive late, from a peer or a stale list.
+        directory.update(earlier, at(5_010));
+        directory.update(later, at(5_020));
+        assert_eq!(usable(&directory, 5_030), 0, "swept: {is_swept}");
+    }
+}
+
 #[test]
 fn expired_entry_after_outage_is_usable_until_grace_ends() {
     let mut directory = EndpointDirectory::default();
