--- a/crates/clementinepond_dispatch/src/directory/mod.rs
+++ b/crates/clementinepond_dispatch/src/directory/mod.rs
@@ -109,7 +109,8 @@
             Some(_) => EndpointChange::Updated,
             None => EndpointChange::Joined,
         };
-        let leaves_at = before.and_then(|known| known.leaves_at).or(leaves_at);
+        let same = before.filter(|known| known.entry.started_ms == entry.started_ms);
+        let leaves_at = same.and_then(|known| known.leaves_at).or(leaves_at);
         if let Some(known) = before
             && known.entry.software != entry.software
         {
--- a/crates/clementinepond_dispatch/tests/directory.rs
+++ b/crates/clementinepond_dispatch/tests/directory.rs
@@ -55,6 +55,19 @@
     }
 }
 
+#[test]
+fn removal_notice_ends_with_its_incarnation() {
+    let mut directory = EndpointDirectory::default();
+    let mut leaving = entry("e1", &[]);
+    leaving.time_left = Some(TimeSpan::from_secs(2));
+    directory.update(leaving, at(0));
+    assert_eq!(usable(&directory, 10), 0);
+    let mut restarted = entry("e1", &[]);
+    restarted.started_ms += 1;
+    directory.update(restarted, at(3_000));
+    assert_eq!(usable(&directory, 3_010), 1);
+}
+
 #[test]
 fn expired_entry_after_outage_is_usable_until_grace_ends() {
     let mut directory = EndpointDirectory::default();
