--- a/crates/clementinepond_dispatch/src/suspect/crash_guard.rs
+++ b/crates/clementinepond_dispatch/src/suspect/crash_guard.rs
@@ -77,7 +77,7 @@
         completions: Vec<(CrashSuspect, LocalTime)>,
     },
     /// Suspects are blocked at a peer or in the store.
-    BlocksLearned {
+    BlockedElsewhere {
         /// Blocked suspects.
         blocked: Vec<BlockedSuspect>,
     },
@@ -164,7 +164,7 @@
             CrashEvent::Cleared { completions } => {
                 self.record_completions(completions.into_iter(), now)
             }
-            CrashEvent::BlocksLearned { blocked } => self.adopt(blocked),
+            CrashEvent::BlockedElsewhere { blocked } => self.adopt(blocked),
             CrashEvent::Tick => self.tick(now),
         }
     }
--- a/crates/clementinepond_entry/src/caller/endpoint_search.rs
+++ b/crates/clementinepond_entry/src/caller/endpoint_search.rs
@@ -263,7 +263,7 @@
         let sent = tokio::select! {
             sent = sent => sent,
             // An endpoint that has queued the request drops it, and does not crash.
-            () = self.node.await_block(&request.suspects) => return SendOutcome::Withdrawn,
+            () = self.node.await_blocked(&request.suspects) => return SendOutcome::Withdrawn,
         };
         match sent {
             Ok(Ok(answer)) => SendOutcome::Answered(Box::new(answer)),
--- a/crates/clementinepond_entry/src/node/crash_guard.rs
+++ b/crates/clementinepond_entry/src/node/crash_guard.rs
@@ -24,7 +24,7 @@
 
 /// Changes of the blocked suspects that are not in the store yet.
 #[derive(Debug, Default)]
-pub(crate) struct UnstoredBlocks {
+pub(crate) struct UnstoredSuspects {
     pub(crate) added: FnvHashSet<CrashSuspect>,
     pub(crate) removed: FnvHashSet<CrashSuspect>,
 }
@@ -122,7 +122,7 @@
             since: time_before(now, report.since_ms_ago),
             seen_at: time_before(now, report.unseen_ms),
         });
-        let event = CrashEvent::BlocksLearned {
+        let event = CrashEvent::BlockedElsewhere {
             blocked: blocked.collect(),
         };
         self.apply_crash_event(event, Some(sender));
@@ -143,10 +143,10 @@
         {
             let mut state = self.state.borrow_mut();
             let is_equal = state.crash_guard.digest() == digest;
-            if is_equal || now.since(state.blocks_synced_at) < SYNC_INTERVAL {
+            if is_equal || now.since(state.blocked_synced_at) < SYNC_INTERVAL {
                 return;
             }
-            state.blocks_synced_at = now;
+            state.blocked_synced_at = now;
         }
         self.send_to(self.blocked_message(false, now), sender);
     }
@@ -237,7 +237,7 @@
 
     fn record_unstored(&self, suspect: CrashSuspect, is_blocked: bool) {
         let mut guard = self.state.borrow_mut();
-        let unstored = &mut guard.unstored_blocks;
+        let unstored = &mut guard.unstored_suspects;
         let (to, from) = if is_blocked {
             (&mut unstored.added, &mut unstored.removed)
         } else {
@@ -246,7 +246,7 @@
         from.remove(&suspect);
         to.insert(suspect);
         drop(guard);
-        self.blocks_changed.notify_one();
+        self.blocked_changed.notify_one();
     }
 
     /// Returns whether a request may be sent; a refusal keeps its suspect blocked.
@@ -264,7 +264,7 @@
     }
 
     /// Waits until one of the suspects is blocked.
-    pub(crate) async fn await_block(&self, suspects: &[CrashSuspect]) {
+    pub(crate) async fn await_blocked(&self, suspects: &[CrashSuspect]) {
         loop {
             let mut blocked = std::pin::pin!(self.suspect_blocked.notified());
             blocked.as_mut().enable();
--- a/crates/clementinepond_entry/src/node/entry_node.rs
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -1,7 +1,7 @@
 //! State of the entry VM and the notifications that wake its tasks.
 
 use super::NodeStats;
-use super::crash_guard::UnstoredBlocks;
+use super::crash_guard::UnstoredSuspects;
 use super::placement::PlacementView;
 use super::run_update::RunOutbox;
 use crate::caller::{AnswerMemory, LostRuns};
@@ -65,9 +65,9 @@
     pub(crate) lost_runs: LostRuns,
     /// Suspects of which this VM has a request in flight on trial.
     pub(crate) trials: FnvHashSet<CrashSuspect>,
-    pub(crate) unstored_blocks: UnstoredBlocks,
+    pub(crate) unstored_suspects: UnstoredSuspects,
     /// Time of the last request for peers' blocked suspects.
-    pub(crate) blocks_synced_at: LocalTime,
+    pub(crate) blocked_synced_at: LocalTime,
     /// Measured time to the first token divided by the predicted one, averaged.
     pub(crate) slowdowns: FnvHashMap<EndpointId, f64>,
     /// Measured time to answer a request, averaged.
@@ -131,7 +131,7 @@
     /// Wakes requests in flight when a suspect is blocked.
     pub(crate) suspect_blocked: Notify,
     /// Wakes the task that stores blocked suspects.
-    pub(crate) blocks_changed: Notify,
+    pub(crate) blocked_changed: Notify,
     pub(crate) socket: OnceCell<Rc<PeerSocket>>,
 }
 
@@ -158,8 +158,8 @@
             crash_guard: CrashGuard::default(),
             lost_runs: LostRuns::default(),
             trials: FnvHashSet::default(),
-            unstored_blocks: UnstoredBlocks::default(),
-            blocks_synced_at: LocalTime::ORIGIN,
+            unstored_suspects: UnstoredSuspects::default(),
+            blocked_synced_at: LocalTime::ORIGIN,
             slowdowns: FnvHashMap::default(),
             service_ms: FnvHashMap::default(),
             store_answered_at: LocalTime::ORIGIN,
@@ -184,7 +184,7 @@
             origin_updated: Notify::new(),
             orders_due: Notify::new(),
             suspect_blocked: Notify::new(),
-            blocks_changed: Notify::new(),
+            blocked_changed: Notify::new(),
             socket: OnceCell::new(),
         }
     }
--- a/crates/clementinepond_entry/src/store/blocked_suspects.rs
+++ b/crates/clementinepond_entry/src/store/blocked_suspects.rs
@@ -61,14 +61,14 @@
     };
     if !node.is_watcher(BootClock::now()) {
         // The role may change meanwhile.
-        let changed = node.blocks_changed.notified();
+        let changed = node.blocked_changed.notified();
         let _ = tokio::time::timeout(WATCH_DURATION.duration(), changed).await;
         return Ok(from);
     }
     increment(&node.stats.store_calls);
     let watched = tokio::select! {
         watched = client.watch(SUSPECT_KIND, from, WATCH_DURATION) => Some(watched),
-        () = node.blocks_changed.notified() => None,
+        () = node.blocked_changed.notified() => None,
     };
     let Some(watched) = watched else {
         client.reset();
@@ -85,7 +85,7 @@
     loop {
         let (added, removed) = {
             let state = node.state.borrow();
-            let unstored = &state.unstored_blocks;
+            let unstored = &state.unstored_suspects;
             let added = unstored.added.iter().next().copied();
             (added, unstored.removed.iter().next().copied())
         };
@@ -99,7 +99,7 @@
             }
             node.state
                 .borrow_mut()
-                .unstored_blocks
+                .unstored_suspects
                 .added
                 .remove(&suspect);
         } else if let Some(suspect) = removed {
@@ -107,7 +107,7 @@
             client.delete(SUSPECT_KIND, &suspect.to_string()).await?;
             node.state
                 .borrow_mut()
-                .unstored_blocks
+                .unstored_suspects
                 .removed
                 .remove(&suspect);
         } else {
@@ -123,7 +123,7 @@
     let state = &mut *guard;
     let missing = state.crash_guard.blocked().map(|known| known.suspect);
     let missing = missing.filter(|suspect| !listed.contains(suspect.to_string().as_str()));
-    state.unstored_blocks.added.extend(missing);
+    state.unstored_suspects.added.extend(missing);
 }
 
 fn apply(node: &EntryNode, page: StorePage) {
@@ -145,6 +145,6 @@
             ),
         }
     }
-    node.apply_crash_event(CrashEvent::BlocksLearned { blocked }, None);
+    node.apply_crash_event(CrashEvent::BlockedElsewhere { blocked }, None);
     node.apply_crash_event(CrashEvent::Cleared { completions }, None);
 }
