--- a/crates/clementinepond_entry/src/caller/endpoint_search.rs
+++ b/crates/clementinepond_entry/src/caller/endpoint_search.rs
@@ -19,25 +19,15 @@
 use std::rc::Rc;
 
 /// Stated retry delay while no endpoint holds the model; about a load from disk.
-const NO_COPY_RETRY_DELAY: TimeSpan = TimeSpan::from_millis(1_000);
+pub(super) const NO_COPY_RETRY_DELAY: TimeSpan = TimeSpan::from_millis(1_000);
 /// Retry delay stated to the caller when the endpoint refused the request.
 const REFUSED_RETRY_DELAY: TimeSpan = TimeSpan::from_millis(150);
-/// Fraction of the time left in which a copy must be expected for a request to wait.
-const COPY_WAIT_FRACTION: (u64, u64) = (1, 2);
-/// Time by which a copy may be later than expected before the request is refused.
-const COPY_LATENESS_LIMIT: TimeSpan = TimeSpan::from_millis(600);
-/// Minimum wait for a copy, so that an overdue copy is not checked in a busy loop.
-const MIN_COPY_WAIT: TimeSpan = TimeSpan::from_millis(20);
 /// Number of unreachable endpoints after which the request fails.
 const MAX_UNREACHABLE_ENDPOINTS: u32 = 4;
 /// Maximum number of sends to an endpoint that is still loading the adapter.
 const MAX_ADAPTER_SENDS: u32 = 3;
 /// Delay before a request is sent again to an endpoint that is loading its adapter.
 const ADAPTER_RETRY_DELAY: TimeSpan = TimeSpan::from_millis(12);
-/// Maximum wait for an endpoint to load an adapter.
-const ADAPTER_WAIT_TIMEOUT: TimeSpan = TimeSpan::from_millis(200);
-/// Number of endpoints without the adapter in time after which the request fails.
-const MAX_ADAPTER_WAITS: u32 = 3;
 /// Factor on the expected time to an answer after which a request is retried elsewhere.
 const SILENCE_FACTOR: u64 = 5;
 /// Minimum time without an answer before a request is sent to another endpoint.
@@ -62,17 +52,17 @@
 /// Search for an endpoint that answers a request.
 #[derive(Debug)]
 pub(crate) struct EndpointSearch {
-    node: Rc<EntryNode>,
-    request: Rc<AdmittedRequest>,
+    pub(super) node: Rc<EntryNode>,
+    pub(super) request: Rc<AdmittedRequest>,
     /// Endpoints that are not chosen again.
-    tried: Vec<EndpointId>,
+    pub(super) tried: Vec<EndpointId>,
     /// Number of endpoints that the request was sent to.
-    sent: u32,
+    pub(super) sent: u32,
     /// Number of sends that reached an endpoint, repeated sends to one endpoint included.
     arrivals: u32,
     unreachable: u32,
     /// Number of endpoints that did not load the adapter in time.
-    adapter_waits: u32,
+    pub(super) adapter_waits: u32,
     /// Whether an endpoint may have run the request without its answer being relayed.
     may_have_run: bool,
     /// Time since which the caller has received no data.
@@ -415,95 +405,6 @@
         Err(LocalAnswer::Lost("answer_lost"))
     }
 
-    /// Returns whether the refusal means that the endpoint has not loaded the adapter.
-    fn is_adapter_missing(&self, answer: &AttemptAnswer, picked: &PickedEndpoint) -> bool {
-        let has_adapter = self
-            .request
-            .profile
-            .target
-            .as_ref()
-            .is_some_and(|target| target.adapter.is_some());
-        let is_same = answer
-            .mark
-            .instance
-            .as_deref()
-            .is_none_or(|instance| instance == picked.id.as_str());
-        let has_room = answer
-            .mark
-            .load
-            .is_some_and(|load| load.running < load.slots);
-        let status = answer.response.status();
-        // While it loads the adapter, an endpoint answers 503 and states free slots.
-        let is_loading = status == StatusCode::SERVICE_UNAVAILABLE && has_room;
-        has_adapter && is_same && (is_loading || status == StatusCode::MISDIRECTED_REQUEST)
-    }
-
-    fn record_missing_adapter(&self, picked: &PickedEndpoint) {
-        if let Some(location) = self
-            .node
-            .adapter_location(&picked.id, self.request.profile.target.as_ref())
-        {
-            self.node
-                .state
-                .borrow_mut()
-                .placement
-                .record_missing(&location);
-        }
-    }
-
-    /// Requests the adapter from the lease holder and waits until the endpoint holds it.
-    async fn await_adapter(&self, picked: &PickedEndpoint) -> bool {
-        let Some(target) = self.request.profile.target.as_ref() else {
-            return false;
-        };
-        let left = BootClock::now().until(self.request.deadline);
-        let limit = ADAPTER_WAIT_TIMEOUT.min(left.fraction(1, 2));
-        self.node.await_adapter(&picked.id, target, limit).await
-    }
-
-    /// Waits for a copy expected well before the deadline; returns whether to choose again.
-    async fn await_copy(&self) -> bool {
-        let Some(target) = &self.request.profile.target else {
-            return false;
-        };
-        let model = NameHash::of(target.model.as_str());
-        let now = BootClock::now();
-        let left = now.until(self.request.deadline);
-        let half = now + left.fraction(COPY_WAIT_FRACTION.0, COPY_WAIT_FRACTION.1);
-        let latest = half.min(self.request.wait_deadline(self.silent_since));
-        let mut changed = std::pin::pin!(self.node.placement_changed.notified());
-        changed.as_mut().enable();
-        let expected = self.node.state.borrow().placement.expected_at(model);
-        let Some(expected) = expected.filter(|at| *at < latest && now < *at + COPY_LATENESS_LIMIT)
-        else {
-            return false;
-        };
-        let limit = now.until(expected + COPY_LATENESS_LIMIT).max(MIN_COPY_WAIT);
-        // The next choice uses the current state, whether it changed or the wait ended.
-        let _ = tokio::time::timeout(limit.duration(), changed).await;
-        true
-    }
-
-    /// Handles an endpoint that did not load the adapter in time.
-    fn handle_adapter_timeout(
-        &mut self,
-        picked: &PickedEndpoint,
-    ) -> Result<Option<StartedAnswer>, LocalAnswer> {
-        log::info!(
-            "event=adapter_missed request={} endpoint={} waits={}",
-            self.request_id(),
-            picked.id,
-            self.adapter_waits
-        );
-        self.tried.push(picked.id.clone());
-        self.sent -= 1;
-        self.adapter_waits += 1;
-        if self.adapter_waits >= MAX_ADAPTER_WAITS {
-            return Err(self.abandon("adapter_not_loaded", NO_COPY_RETRY_DELAY));
-        }
-        Ok(None)
-    }
-
     /// Returns the answer to a request for which no endpoint could be chosen.
     fn refuse(&self, cause: RefusalCause) -> LocalAnswer {
         match cause {
@@ -515,14 +416,14 @@
     }
 
     /// Returns the answer to a request that is not sent to any further endpoint.
-    fn abandon(&self, reason: &'static str, retry_after: TimeSpan) -> LocalAnswer {
+    pub(super) fn abandon(&self, reason: &'static str, retry_after: TimeSpan) -> LocalAnswer {
         if self.may_have_run {
             return LocalAnswer::Lost(reason);
         }
         LocalAnswer::NotRun(reason, self.request.bounded_retry_delay(retry_after))
     }
 
-    fn request_id(&self) -> &str {
+    pub(super) fn request_id(&self) -> &str {
         self.request
             .profile
             .id
--- a/crates/clementinepond_entry/src/caller/mod.rs
+++ b/crates/clementinepond_entry/src/caller/mod.rs
@@ -4,6 +4,7 @@
 mod answer_body;
 mod answer_memory;
 mod connection;
+mod copy_wait;
 mod crash_probe;
 mod endpoint_search;
 mod event_reader;
