--- a/crates/clementinepond/tests/entry/main.rs
+++ b/crates/clementinepond/tests/entry/main.rs
@@ -19,6 +19,7 @@
 mod peer_updates;
 mod refusals;
 mod request_path;
+mod send_limits;
 mod store_restored;
 mod stream_versions;
 mod support;
