--- a/crates/clementinepond_entry/src/node/mod.rs
+++ b/crates/clementinepond_entry/src/node/mod.rs
@@ -3,6 +3,7 @@
 mod crash_guard;
 mod entry_node;
 mod fleet_state;
+mod outcome;
 mod peers;
 mod pick;
 mod placement;
--- a/crates/clementinepond_entry/src/node/pick.rs
+++ b/crates/clementinepond_entry/src/node/pick.rs
@@ -6,7 +6,6 @@
 use clementinepond_dispatch::fleet::{
     EnginePolicy, ModelTarget, RequestProfile, ServiceId, SoftwareVersion, TokenDemand,
 };
-use clementinepond_dispatch::health::EndpointOutcome;
 use clementinepond_dispatch::load::{EndpointLoad, NameHash};
 use clementinepond_dispatch::peer::{AdapterLocation, SentRun};
 use clementinepond_dispatch::placement::adapter_hash;
@@ -23,14 +22,8 @@
 /// and the second owner of its session. Two owners allow load balancing without cache
 /// misses.
 const OWNER_CACHE_SHARES: [f64; 2] = [0.85, 0.7];
-/// Weight of a new measurement in the moving average of an endpoint's slowdown.
-const SLOWDOWN_WEIGHT: f64 = 0.15;
-/// Minimum and maximum of an endpoint's slowdown.
-const SLOWDOWN_RANGE: (f64, f64) = (0.4, 6.0);
-/// Weight of a new measurement in the moving average of an endpoint's service time.
-const SERVICE_TIME_WEIGHT: f64 = 0.1;
 /// Service time assumed before the first measurement.
-const DEFAULT_SERVICE_TIME_MS: f64 = 60.0;
+pub(super) const DEFAULT_SERVICE_TIME_MS: f64 = 60.0;
 
 /// Reason for which a request is refused without having been sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -396,51 +389,6 @@
             pending_prefill: Cell::new(pending_prefill),
         }
     }
-
-    /// Records the outcome of a request at an endpoint, which may eject the endpoint.
-    pub(crate) fn record_outcome(&self, id: &EndpointId, outcome: EndpointOutcome) {
-        let now = BootClock::now();
-        let mut guard = self.state.borrow_mut();
-        let state = &mut *guard;
-        let Some(service) = state
-            .directory
-            .get(id)
-            .map(|known| known.entry.service.clone())
-        else {
-            return;
-        };
-        let peers: Vec<EndpointId> = state
-            .directory
-            .usable(&service, now)
-            .map(|known| known.entry.id.clone())
-            .collect();
-        if state.health.record(id, outcome, &peers, now) {
-            state.ejected_here.insert(NameHash::of(id.as_str()), now);
-            log::info!("event=endpoint_ejected endpoint={id} outcome={outcome:?}");
-        }
-    }
-
-    /// Adjusts an endpoint's slowdown by a measured and a predicted time to the first
-    /// token.
-    pub(crate) fn record_slowdown(&self, id: &EndpointId, predicted: TimeSpan, measured: TimeSpan) {
-        // 3 ms on both sides keep very short times from dominating the ratio.
-        let ratio = (measured.micros() as f64 + 3e3) / (predicted.micros() as f64 + 3e3);
-        let mut state = self.state.borrow_mut();
-        let slowdown = state.slowdowns.entry(id.clone()).or_insert(1.0);
-        let target = (*slowdown * ratio).clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
-        *slowdown += (target - *slowdown) * SLOWDOWN_WEIGHT;
-    }
-
-    /// Records the service time of a request that was answered in one piece.
-    pub(crate) fn record_service_time(&self, id: &EndpointId, measured: TimeSpan) {
-        let millis = measured.micros() as f64 / 1e3;
-        let mut state = self.state.borrow_mut();
-        let service_time = state
-            .service_ms
-            .entry(id.clone())
-            .or_insert(DEFAULT_SERVICE_TIME_MS);
-        *service_time += (millis - *service_time) * SERVICE_TIME_WEIGHT;
-    }
 }
 
 /// Returns the hash of the model or adapter whose weights determine the prefix cache.
