--- a/crates/clementinepond/src/command/entry_log_event.rs
+++ b/crates/clementinepond/src/command/entry_log_event.rs
@@ -94,6 +94,16 @@
         "endpoint",
         "an endpoint was removed: it stayed unlisted, or its announced removal time has passed",
     ),
+    event(
+        "endpoint_limit",
+        "endpoint rate source",
+        "an endpoint states how many requests a second it takes from all VMs, or no longer does (`rate=none`); a peer's report names the endpoint by its hash",
+    ),
+    event(
+        "endpoint_limit_unreadable",
+        "endpoint",
+        "an endpoint states a limit that is no decimal number; the limit known before stays in force",
+    ),
     event(
         "endpoint_unlisted",
         "endpoint revision source",
@@ -194,6 +204,11 @@
         "heartbeat runs entries placement other snapshot dropped",
         "bytes sent to peers by type of message since the last such line, and datagrams dropped since the start",
     ),
+    event(
+        "permit_denied",
+        "endpoint rate replied retry_ms",
+        "the limit that an endpoint states leaves no room for a call, or the VM that issues the permits did not reply; the call goes elsewhere or is refused",
+    ),
     event(
         "probe_ended",
         "error",
--- a/crates/clementinepond_dispatch/src/peer/message.rs
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::PromptBlock;
 use crate::load::{EndpointLoad, NameHash};
+use crate::send_limit::SendRate;
 use crate::stream::{StreamKey, StreamOrigin};
 use crate::suspect::{CrashSuspect, EndpointCrash};
 use clementinepond_types::{AccountId, AdapterId, DataCentreId, EndpointId, ModelId, VmId};
@@ -74,6 +75,8 @@
     pub link_mbps: u32,
     /// Whether the VM's own calls to the store succeed; true when it makes none.
     pub has_store: bool,
+    /// Whether the VM is shutting down and takes no new duties.
+    pub is_stopping: bool,
     /// Milliseconds since the store last answered this VM's watches.
     pub store_age_ms: u32,
     /// Fencing number if the VM holds the placement lease.
@@ -224,6 +227,50 @@
         /// Whether the receiver does not answer with its own.
         is_reply: bool,
     },
+    /// An endpoint states a limit, another one or no longer one.
+    SendLimit(LimitReport),
+    /// Query to the owner of an endpoint's limit for a permit to send one call.
+    PermitQuery {
+        /// Number by which the VM recognizes the reply.
+        ticket: u64,
+        /// Limit as the VM knows it.
+        limit: LimitReport,
+    },
+    /// Reply to a query for a permit.
+    PermitReply {
+        /// Number of the query.
+        ticket: u64,
+        /// Content.
+        reply: PermitReply,
+    },
+}
+
+/// Limit of an endpoint as a VM knows it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// Endpoint.
+    pub endpoint: NameHash,
+    /// Rate that the endpoint states; `None` if it no longer states one.
+    pub rate: Option<SendRate>,
+    /// Milliseconds since the time as of which the rate is known.
+    pub known_ms_ago: u32,
+}
+
+/// Answer of the owner of an endpoint's limit to a query.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitReply {
+    /// One call may be sent now.
+    Granted,
+    /// No call may be sent.
+    Denied {
+        /// Milliseconds after which the VM may ask again.
+        retry_ms: u32,
+    },
+    /// The endpoint no longer states a limit.
+    Unlimited {
+        /// Milliseconds since the time as of which that is known.
+        known_ms_ago: u32,
+    },
 }
 
 /// Runs of a VM that were lost when their endpoint crashed.
--- a/crates/clementinepond_entry/src/caller/endpoint_search.rs
+++ b/crates/clementinepond_entry/src/caller/endpoint_search.rs
@@ -174,13 +174,16 @@
     ) -> Result<Option<StartedAnswer>, LocalAnswer> {
         self.sent += 1;
         let mut needs_adapter = picked.missing_adapter.is_some();
-        for _ in 0..MAX_ADAPTER_SENDS {
+        for sends in 0..MAX_ADAPTER_SENDS {
             if needs_adapter && !self.await_adapter(&picked).await {
                 return self.handle_adapter_timeout(&picked);
             }
             if let Some(target) = &self.request.profile.target {
                 self.node.report_adapter_use(&picked.id, target);
             }
+            if !self.node.take_send_permit(&picked.id).await {
+                return self.handle_missing_permit(&picked, sends > 0);
+            }
             let sent_at = BootClock::now();
             let outcome = self.send(&picked).await;
             match outcome {
@@ -355,6 +358,24 @@
         Err(self.abandon("endpoint_refused", REFUSED_RETRY_DELAY))
     }
 
+    /// Handles an endpoint whose stated limit leaves no room for a request; it is left out
+    /// of the next choices for a while.
+    fn handle_missing_permit(
+        &mut self,
+        picked: &PickedEndpoint,
+        has_refused: bool,
+    ) -> Result<Option<StartedAnswer>, LocalAnswer> {
+        if has_refused {
+            self.tried.push(picked.id.clone());
+            if !self.take_retry() {
+                return Err(self.abandon("endpoint_refused", REFUSED_RETRY_DELAY));
+            }
+        } else {
+            self.sent -= 1;
+        }
+        Ok(None)
+    }
+
     /// Handles a failed connection; nothing was sent.
     fn handle_unreachable(
         &mut self,
--- a/crates/clementinepond_entry/src/endpoint/attempt.rs
+++ b/crates/clementinepond_entry/src/endpoint/attempt.rs
@@ -121,8 +121,9 @@
             return Err(AttemptFailure::NotSent(ConnectFailure::Failed));
         }
         let request = outgoing(&attempt);
+        let sent_at = BootClock::now();
         match connection.sender.try_send_request(request).await {
-            Ok(response) => return accept(attempt, connection, response),
+            Ok(response) => return accept(node, attempt, connection, response, sent_at),
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
                 if is_unsent && was_kept {
@@ -157,11 +158,18 @@
 
 /// Checks that the answer belongs to the request and, if it is a success, is signed.
 fn accept(
+    node: &EntryNode,
     attempt: Attempt<'_>,
     connection: Connection,
     response: Response<Incoming>,
+    sent_at: LocalTime,
 ) -> Result<AttemptAnswer, AttemptFailure> {
     let mark = read_answer(response.headers());
+    let is_from_endpoint = mark.instance.as_deref() == Some(attempt.endpoint.as_str())
+        || (mark.instance.is_none() && response.status() != StatusCode::MISDIRECTED_REQUEST);
+    if is_from_endpoint {
+        node.record_limit(attempt.endpoint, mark.limit, sent_at);
+    }
     let is_foreign = mark.request.is_some() && mark.request.as_ref() != attempt.request_id;
     let is_unsigned_success = response.status().is_success() && !mark.is_signed;
     if is_foreign || is_unsigned_success {
--- a/crates/clementinepond_entry/src/node/crash_guard.rs
+++ b/crates/clementinepond_entry/src/node/crash_guard.rs
@@ -1,5 +1,6 @@
 //! Exchange with the peers of crashes, completions and blocked suspects.
 
+use super::message_age::{age_ms, time_before};
 use super::{EntryNode, increment};
 use crate::clock::BootClock;
 use clementinepond_dispatch::peer::{
@@ -292,12 +293,3 @@
         })
     }
 }
-
-fn age_ms(at: LocalTime, now: LocalTime) -> u32 {
-    u32::try_from(now.since(at).millis()).unwrap_or(u32::MAX)
-}
-
-fn time_before(now: LocalTime, age_ms: u32) -> LocalTime {
-    let age = TimeSpan::from_millis(age_ms.into());
-    LocalTime::from_micros(now.micros().saturating_sub(age.micros()))
-}
--- a/crates/clementinepond_entry/src/node/entry_node.rs
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -4,6 +4,7 @@
 use super::crash_guard::UnstoredSuspects;
 use super::placement::PlacementView;
 use super::run_update::RunOutbox;
+use super::send_permit::PermitWaits;
 use crate::caller::{AnswerMemory, LostRuns};
 use crate::endpoint::ConnectionPool;
 use crate::peer::PeerSocket;
@@ -19,6 +20,7 @@
 use clementinepond_dispatch::placement::{DemandMeter, PlacementPlanner};
 use clementinepond_dispatch::quota::RateLimiter;
 use clementinepond_dispatch::select::PrefixCacheIndex;
+use clementinepond_dispatch::send_limit::{LimitTable, PermitLedger};
 use clementinepond_dispatch::stream::OriginTable;
 use clementinepond_dispatch::suspect::{CrashGuard, CrashSuspect};
 use clementinepond_dispatch::table::RouteTable;
@@ -54,6 +56,10 @@
     pub(crate) endpoint_revision: u64,
     pub(crate) health: HealthTable,
     pub(crate) loads: LoadTable,
+    pub(crate) limits: LimitTable,
+    /// Permits for endpoints whose limit this VM owns.
+    pub(crate) permits: PermitLedger,
+    pub(crate) permit_waits: PermitWaits,
     pub(crate) prefix_cache: PrefixCacheIndex,
     pub(crate) demand: DemandMeter,
     pub(crate) limiter: RateLimiter,
@@ -148,6 +154,9 @@
             endpoint_revision: 0,
             health: HealthTable::default(),
             loads: LoadTable::default(),
+            limits: LimitTable::default(),
+            permits: PermitLedger::default(),
+            permit_waits: PermitWaits::default(),
             prefix_cache: PrefixCacheIndex::default(),
             demand: DemandMeter::default(),
             limiter: RateLimiter::new(),
--- a/crates/clementinepond_entry/src/node/fleet_state.rs
+++ b/crates/clementinepond_entry/src/node/fleet_state.rs
@@ -282,6 +282,8 @@
             let key = NameHash::of(id.as_str());
             state.prefix_cache.remove(key);
             state.loads.remove_queue(key);
+            state.limits.remove(key);
+            state.permits.remove(key);
         }
         if change != EndpointChange::Same {
             log::info!(
@@ -398,6 +400,8 @@
                 let key = NameHash::of(id.as_str());
                 state.prefix_cache.remove(key);
                 state.loads.remove_queue(key);
+                state.limits.remove(key);
+                state.permits.remove(key);
                 self.pool.forget(&id);
                 log::info!("event=endpoint_gone endpoint={id}");
             }
--- a/crates/clementinepond_entry/src/node/peers.rs
+++ b/crates/clementinepond_entry/src/node/peers.rs
@@ -156,6 +156,7 @@
             directory: state.endpoint_revision,
             link_mbps: self.settings().capacity.link(),
             has_store: state.failing_kinds == 0,
+            is_stopping: self.stopping_since.get().is_some(),
             store_age_ms: u32::try_from(now.since(state.store_answered_at).millis())
                 .unwrap_or(u32::MAX),
             expired_order_age_ms: state.expired_order_age(now),
@@ -314,6 +315,7 @@
             state.loads.remove_peer(&vm);
         }
         state.origins.sweep(now);
+        state.limits.sweep(now);
         let (live, known) = state.peers.peer_counts(now);
         state.limiter.set_live_peers(live, known, now);
         let requested = state.peers.requested_per_s(now);
--- a/crates/clementinepond_entry/src/node/pick.rs
+++ b/crates/clementinepond_entry/src/node/pick.rs
@@ -1,6 +1,7 @@
 //! Choice of an endpoint for a request, and tracking of the request in flight.
 
 use super::EntryNode;
+use super::send_permit::{permitted, without_limited_orders};
 use crate::clock::BootClock;
 use clementinepond_dispatch::directory::{KnownEndpoint, Presence};
 use clementinepond_dispatch::fleet::{
@@ -182,6 +183,7 @@
             })
             .collect();
         let hosting = if open.is_empty() { hosting } else { open };
+        let hosting = permitted(state, hosting, now)?;
         let owners = session_owners(query.profile, &hosting);
         let shared_tokens = shared_tokens(query.profile);
         let candidates: Vec<EngineCandidate<'_>> = hosting
@@ -230,6 +232,7 @@
                 }
             })
             .collect();
+        let candidates = without_limited_orders(state, candidates);
         // Without a lease holder no adapter gets loaded, so engines that have it are
         // preferred.
         let ready: Vec<EngineCandidate<'_>> = candidates
@@ -299,10 +302,13 @@
         let own_data_centre = self.settings().data_centre.clone();
         let guard = self.state.borrow();
         let state = &*guard;
-        let candidates: Vec<ServiceCandidate<'_>> = state
+        let allowed: Vec<&KnownEndpoint> = state
             .directory
             .usable(query.service, now)
             .filter(|known| query.allows(known))
+            .collect();
+        let candidates: Vec<ServiceCandidate<'_>> = permitted(state, allowed, now)?
+            .into_iter()
             .map(|known| {
                 let entry = &known.entry;
                 let key = NameHash::of(entry.id.as_str());
--- a/crates/clementinepond_entry/src/peer/socket.rs
+++ b/crates/clementinepond_entry/src/peer/socket.rs
@@ -161,6 +161,11 @@
         PeerMessage::BlockedSuspects { blocked, is_reply } => {
             node.apply_blocked_reports(blocked, is_reply, address);
         }
+        PeerMessage::SendLimit(report) => node.apply_limit_report(&report),
+        PeerMessage::PermitQuery { ticket, limit } => {
+            node.answer_permit_query(ticket, &limit, address);
+        }
+        PeerMessage::PermitReply { ticket, reply } => node.apply_permit_reply(ticket, reply),
     }
 }
 
--- a/crates/clementinepond_entry/src/peer/traffic.rs
+++ b/crates/clementinepond_entry/src/peer/traffic.rs
@@ -52,6 +52,9 @@
             | PeerMessage::Completions(_)
             | PeerMessage::BlockedDigest { .. }
             | PeerMessage::BlockedSuspects { .. }
+            | PeerMessage::SendLimit(_)
+            | PeerMessage::PermitQuery { .. }
+            | PeerMessage::PermitReply { .. }
             | PeerMessage::Configuration { .. } => Self::Other,
         }
     }
--- a/crates/clementinepond_entry/src/placement_lease/order_task.rs
+++ b/crates/clementinepond_entry/src/placement_lease/order_task.rs
@@ -1,7 +1,7 @@
 //! Task of the lease holder: runs the planners, sends orders and announces placement.
 
 use crate::clock::BootClock;
-use crate::http::{CallFailure, HttpClient};
+use crate::http::{CallFailure, CallReply, HttpClient};
 use crate::node::{EntryNode, increment};
 use clementinepond_dispatch::fleet::{EndpointEntry, ServiceId};
 use clementinepond_dispatch::health::HealthGrade;
@@ -12,7 +12,8 @@
     OrderReply, PlacementPlanner, PlannerEffect, PlannerInput, SentOrder,
 };
 use clementinepond_platform::{
-    STATUS_PATH, order_body, order_path, read_order_reply, read_report, write_expected_instance,
+    STATUS_PATH, order_body, order_path, read_limit, read_order_reply, read_report,
+    write_expected_instance,
 };
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
 use fnv::{FnvHashMap, FnvHashSet};
@@ -226,13 +227,18 @@
     write_expected_instance(&mut headers, &sent.endpoint);
     let body = order_body(&sent, &node.settings().vm);
     let mut client = take_client(clients, &sent.endpoint, sent.address);
+    let is_permitted = node.take_send_permit(&sent.endpoint).await;
     // The lease may have expired if the process was paused since the order was planned.
-    let reply = if node.order_fence(BootClock::now()) == Some(sent.fence) {
+    let reply = if is_permitted && node.order_fence(BootClock::now()) == Some(sent.fence) {
         increment(&node.stats.orders);
         node.state.borrow_mut().last_order = Some(BootClock::now());
+        let sent_at = BootClock::now();
         let call = client.call(Method::POST, order_path(), headers, body, ORDER_TIMEOUT);
         match call.await {
-            Ok(answer) => read_order_reply(answer.status),
+            Ok(answer) => {
+                record_limit(node, &sent.endpoint, &answer, sent_at);
+                read_order_reply(answer.status)
+            }
             Err(CallFailure::NotSent) => OrderReply::NotSent,
             Err(_) => {
                 client.reset();
@@ -266,6 +272,10 @@
     endpoint: EndpointId,
     address: SocketAddrV4,
 ) {
+    // The planner asks again at its next step.
+    if !node.take_send_permit(&endpoint).await {
+        return;
+    }
     let requested_at = BootClock::now();
     let mut headers = HeaderMap::new();
     write_expected_instance(&mut headers, &endpoint);
@@ -273,6 +283,9 @@
     let call = client.call(Method::GET, STATUS_PATH, headers, Vec::new(), ORDER_TIMEOUT);
     let answer = call.await;
     let now = BootClock::now();
+    if let Ok(answer) = &answer {
+        record_limit(node, &endpoint, answer, requested_at);
+    }
     match answer {
         Ok(answer) if answer.status == StatusCode::OK => match read_report(&answer.body) {
             Ok(status) => with_planner(node, &endpoint, |planner| {
@@ -295,6 +308,14 @@
     node.orders_due.notify_one();
 }
 
+/// Records the limit that an endpoint states in its answer to an order or a status read.
+fn record_limit(node: &EntryNode, endpoint: &EndpointId, answer: &CallReply, sent_at: LocalTime) {
+    // Another endpoint may have taken over the address.
+    if answer.status != StatusCode::MISDIRECTED_REQUEST {
+        node.record_limit(endpoint, read_limit(&answer.headers), sent_at);
+    }
+}
+
 /// Calls a function on the planner of an endpoint's service, if there is one.
 fn with_planner(node: &EntryNode, endpoint: &EndpointId, act: impl FnOnce(&mut PlacementPlanner)) {
     let mut guard = node.state.borrow_mut();
