--- a/crates/clementinepond/tests/entry/main.rs
+++ b/crates/clementinepond/tests/entry/main.rs
@@ -12,6 +12,8 @@
 mod configuration;
 mod crash_support;
 mod crashing_prompts;
+mod cut_support;
+mod cut_vms;
 mod endless_answers;
 mod fake_peers;
 mod graceful_shutdown;
--- a/crates/clementinepond_soak/src/deployment.rs
+++ b/crates/clementinepond_soak/src/deployment.rs
@@ -4,9 +4,8 @@
 use crate::check::STREAM_EVENTS;
 use crate::fault::SoakFault;
 use crate::process::EntryProcess;
-use crate::proxy::LinkProxy;
 use clementinepond_platform_standin::{
-    EndpointFaults, EndpointOptions, RunChecker, StandinEndpoint, StandinStore,
+    EndpointFaults, EndpointOptions, LinkProxy, RunChecker, StandinEndpoint, StandinStore,
     sample_configuration,
 };
 use rustix::process::Signal;
@@ -77,7 +76,7 @@
                 StandinEndpoint::start(any, options, &deployment.store, &deployment.checker)
                     .await?;
             let link = LinkProxy::start(endpoint.address()).await?;
-            endpoint.register_at(link.address);
+            endpoint.register_at(link.address());
             deployment.endpoints.push(endpoint);
             deployment.endpoint_links.push(link);
         }
@@ -85,7 +84,7 @@
             let link = LinkProxy::start(deployment.store.address()).await?;
             let name = format!("vm-{index}");
             let entry =
-                EntryProcess::start(name, program.to_owned(), link.address, folder.clone())?;
+                EntryProcess::start(name, program.to_owned(), link.address(), folder.clone())?;
             deployment.store_links.push(link);
             deployment.entries.push(entry);
         }
--- a/crates/clementinepond_soak/src/fault.rs
+++ b/crates/clementinepond_soak/src/fault.rs
@@ -1,22 +1,10 @@
 //! Faults and their random schedule.
 
+use clementinepond_platform_standin::LinkFault;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
 
-/// Fault that a proxy injects into its connections.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum LinkFault {
-    /// Each forwarded chunk of bytes is delayed.
-    Delay(Duration),
-    /// Open connections are closed, and new ones are reset once accepted.
-    Reset,
-    /// Bytes from the server are dropped, while bytes to the server arrive.
-    OneWay,
-    /// Bytes are held back in both directions until the fault ends.
-    Silence,
-}
-
 /// Fault that a run injects; numbers are indices of VMs or endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum SoakFault {
--- a/crates/clementinepond_soak/src/lib.rs
+++ b/crates/clementinepond_soak/src/lib.rs
@@ -11,7 +11,6 @@
 mod error;
 mod fault;
 mod process;
-mod proxy;
 mod run;
 
 pub use error::SoakError;
