--- a/crates/clementinepond_entry/src/endpoint/attempt.rs
+++ b/crates/clementinepond_entry/src/endpoint/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::{PooledConnection, ReuseRule};
 use crate::clock::BootClock;
-use crate::http::{ConnectFailure, Connection, open_connection};
+use crate::http::{ConnectFailure, Connection, open_endpoint_connection};
 use crate::node::EntryNode;
 use bytes::Bytes;
 use clementinepond_dispatch::stream::BodyFraming;
@@ -110,7 +110,7 @@
         let was_kept = kept.is_some();
         let mut connection = match kept.take() {
             Some(connection) => connection,
-            None => open_connection(attempt.address, CONNECT_TIMEOUT)
+            None => open_endpoint_connection(attempt.address, CONNECT_TIMEOUT)
                 .await
                 .map_err(AttemptFailure::NotSent)?,
         };
--- a/crates/clementinepond_entry/src/http/connect.rs
+++ b/crates/clementinepond_entry/src/http/connect/mod.rs
@@ -12,8 +12,15 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-/// Time without acknowledgement of sent data after which the kernel closes a connection.
+#[cfg(test)]
+mod tests;
+
+/// Time without acknowledgement of sent data or of keep-alive probes after which the kernel
+/// closes a connection to the store or a peer.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The same for a connection to an endpoint, which may fall silent for a second or two and
+/// go on. Linux applies it to keep-alive probes as well, whatever their number.
+const ENDPOINT_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
 /// Idle time after which the kernel sends keep-alive probes.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Interval between keep-alive probes.
@@ -51,10 +58,26 @@
     }
 }
 
-/// Opens a connection within a timeout.
+/// Opens a connection to the store or a peer within a timeout.
 pub(crate) async fn open_connection(
     address: SocketAddrV4,
     timeout: TimeSpan,
+) -> Result<Connection, ConnectFailure> {
+    open(address, timeout, UNACKNOWLEDGED_TIMEOUT).await
+}
+
+/// Opens a connection to an endpoint within a timeout.
+pub(crate) async fn open_endpoint_connection(
+    address: SocketAddrV4,
+    timeout: TimeSpan,
+) -> Result<Connection, ConnectFailure> {
+    open(address, timeout, ENDPOINT_UNACKNOWLEDGED_TIMEOUT).await
+}
+
+async fn open(
+    address: SocketAddrV4,
+    timeout: TimeSpan,
+    unacknowledged: Duration,
 ) -> Result<Connection, ConnectFailure> {
     let connecting = TcpStream::connect(address);
     let stream = match tokio::time::timeout(timeout.duration(), connecting).await {
@@ -65,7 +88,7 @@
         Ok(Err(_)) => return Err(ConnectFailure::Failed),
         Err(_) => return Err(ConnectFailure::Timeout),
     };
-    tune_socket(&stream);
+    tune(&stream, Some(unacknowledged));
     let (sender, driver) = Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
--- a/crates/clementinepond_entry/src/http/mod.rs
+++ b/crates/clementinepond_entry/src/http/mod.rs
@@ -5,5 +5,6 @@
 
 pub(crate) use call::{CallFailure, CallReply, HttpClient};
 pub(crate) use connect::{
-    ConnectFailure, Connection, open_connection, tune_caller_socket, tune_socket,
+    ConnectFailure, Connection, open_connection, open_endpoint_connection, tune_caller_socket,
+    tune_socket,
 };
