--- a/crates/clementinepond/src/command/entry_log_event.rs
+++ b/crates/clementinepond/src/command/entry_log_event.rs
@@ -79,6 +79,11 @@
         "endpoint change phase models revision source",
         "an endpoint joined, changed or is draining",
     ),
+    event(
+        "endpoint_checked",
+        "endpoint verdict",
+        "an endpoint that did not answer was checked, by this VM and a peer",
+    ),
     event(
         "endpoint_crashed",
         "endpoint started_ms runs age_ms",
@@ -119,11 +124,26 @@
         "count revision source",
         "all endpoint entries were read",
     ),
+    event(
+        "endpoints_cut",
+        "is_cut",
+        "this VM lost its links to the endpoints, or has them again; requests go through peers meanwhile",
+    ),
     event(
         "entry_unreadable",
         "endpoint error",
         "a changed endpoint entry from a peer is malformed and was ignored",
     ),
+    event(
+        "link_failed",
+        "endpoint reason",
+        "a peer reached an endpoint to which this VM could not connect",
+    ),
+    event(
+        "link_restored",
+        "endpoint",
+        "a direct connection to an endpoint was opened again",
+    ),
     event(
         "lease_refused",
         "status",
@@ -204,6 +224,11 @@
         "heartbeat runs entries placement other snapshot dropped",
         "bytes sent to peers by type of message since the last such line, and datagrams dropped since the start",
     ),
+    event(
+        "peer_request_sent",
+        "request endpoint outcome duration_ms",
+        "a request that a peer forwarded was sent to its endpoint; `outcome` is what the peer was told",
+    ),
     event(
         "permit_denied",
         "endpoint rate replied retry_ms",
@@ -219,11 +244,21 @@
         "request account units level rate_per_s burst is_current retry_ms",
         "a request exceeds the quota of its account",
     ),
+    event(
+        "reach_unknown",
+        "peer error",
+        "a peer did not state whether it reaches an endpoint",
+    ),
     event(
         "request_blocked",
         "request suspect",
         "a request was refused since requests with this suspect crash endpoints",
     ),
+    event(
+        "request_forwarded",
+        "request endpoint through outcome",
+        "a request was sent through a peer, since this VM does not reach the endpoint",
+    ),
     event(
         "request_ended",
         "request route service model account endpoint software outcome status reason endpoints waited_ms framing predicted_ms first_ms pause_ms open_event_bytes duration_ms configuration",
--- a/crates/clementinepond/tests/entry/fake_peers.rs
+++ b/crates/clementinepond/tests/entry/fake_peers.rs
@@ -159,6 +159,7 @@
                 directory: claim.directory,
                 link_mbps: claim.link_mbps,
                 has_store: true,
+                is_cut: false,
                 is_stopping: false,
                 store_age_ms: 0,
                 lease_fence: None,
--- a/crates/clementinepond/tests/entry/main.rs
+++ b/crates/clementinepond/tests/entry/main.rs
@@ -16,6 +16,7 @@
 mod cut_vms;
 mod endless_answers;
 mod fake_peers;
+mod forwarded_requests;
 mod graceful_shutdown;
 mod large_fleet;
 mod peer_updates;
--- a/crates/clementinepond_dispatch/src/health/health_table.rs
+++ b/crates/clementinepond_dispatch/src/health/health_table.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Removes all endpoints.
+    pub fn clear(&mut self) {
+        self.endpoints.clear();
+    }
+
     /// Removes an endpoint that has left or restarted.
     pub fn remove(&mut self, id: &EndpointId) {
         self.endpoints.remove(id);
--- a/crates/clementinepond_dispatch/src/lease/mod.rs
+++ b/crates/clementinepond_dispatch/src/lease/mod.rs
@@ -60,6 +60,8 @@
         /// Delay after a tick with a live holder before this VM may try to take the
         /// lease, so that better suited VMs try first.
         takeover_delay: TimeSpan,
+        /// Whether this VM reaches endpoints; one that does not leaves the lease to others.
+        can_order: bool,
     },
     /// The object was read.
     Read(StoredLease),
@@ -191,7 +193,8 @@
             LeaseEvent::Tick {
                 holder_live,
                 takeover_delay,
-            } => self.tick(holder_live, takeover_delay, now),
+                can_order,
+            } => self.tick(holder_live, takeover_delay, can_order, now),
             LeaseEvent::Read(stored) => {
                 self.call_started_at = None;
                 self.record_read(stored, now)
@@ -221,6 +224,7 @@
         &mut self,
         holder_live: bool,
         takeover_delay: TimeSpan,
+        can_order: bool,
         now: LocalTime,
     ) -> Vec<LeaseEffect> {
         let mut effects = Vec::new();
@@ -233,6 +237,10 @@
             self.last_read = None;
             effects.push(LeaseEffect::Lost);
         }
+        if !can_order {
+            // The lease expires unless a call in flight renews it once more.
+            return effects;
+        }
         if self.is_released || self.call_started_at.is_some() || now < self.next_call {
             return effects;
         }
--- a/crates/clementinepond_dispatch/src/lib.rs
+++ b/crates/clementinepond_dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod peer;
 pub mod placement;
 pub mod quota;
+pub mod reach;
 pub mod select;
 pub mod send_limit;
 pub mod stream;
--- a/crates/clementinepond_dispatch/src/peer/message.rs
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -75,6 +75,8 @@
     pub link_mbps: u32,
     /// Whether the VM's own calls to the store succeed; true when it makes none.
     pub has_store: bool,
+    /// Whether the VM is cut off from the endpoints.
+    pub is_cut: bool,
     /// Whether the VM is shutting down and takes no new duties.
     pub is_stopping: bool,
     /// Milliseconds since the store last answered this VM's watches.
@@ -227,6 +229,13 @@
         /// Whether the receiver does not answer with its own.
         is_reply: bool,
     },
+    /// A VM is cut off from the endpoints, or no longer is.
+    Reach {
+        /// Random number that identifies the process.
+        incarnation: u64,
+        /// Whether it is cut off.
+        is_cut: bool,
+    },
     /// An endpoint states a limit, another one or no longer one.
     SendLimit(LimitReport),
     /// Query to the owner of an endpoint's limit for a permit to send one call.
--- a/crates/clementinepond_dispatch/src/peer/mod.rs
+++ b/crates/clementinepond_dispatch/src/peer/mod.rs
@@ -1,6 +1,7 @@
 //! Messages between VMs and the table of peers.
 
 mod fetch_schedule;
+mod forwarder;
 mod link_budget;
 mod message;
 mod origin_holders;
--- a/crates/clementinepond_dispatch/src/peer/peer_table.rs
+++ b/crates/clementinepond_dispatch/src/peer/peer_table.rs
@@ -172,6 +172,10 @@
         }
     }
 
+    pub(super) fn heartbeat_mut(&mut self, vm: &VmId) -> Option<&mut PeerHeartbeat> {
+        self.peers.get_mut(vm)?.heartbeat.as_deref_mut()
+    }
+
     /// Records contact with a peer, if the process is the one of its last heartbeat.
     pub fn record_contact(&mut self, vm: &VmId, incarnation: u64, now: LocalTime) {
         if let Some(peer) = self.peers.get_mut(vm) {
--- a/crates/clementinepond_dispatch/tests/lease.rs
+++ b/crates/clementinepond_dispatch/tests/lease.rs
@@ -39,6 +39,7 @@
         LeaseEvent::Tick {
             holder_live: false,
             takeover_delay: TimeSpan::ZERO,
+            can_order: true,
         },
         now,
     )
--- a/crates/clementinepond_dispatch/tests/peers.rs
+++ b/crates/clementinepond_dispatch/tests/peers.rs
@@ -29,6 +29,7 @@
         directory: 7,
         link_mbps,
         has_store: true,
+        is_cut: false,
         is_stopping: false,
         store_age_ms: 0,
         lease_fence: None,
--- a/crates/clementinepond_dispatch/tests/send_limits.rs
+++ b/crates/clementinepond_dispatch/tests/send_limits.rs
@@ -40,6 +40,7 @@
         directory: 7,
         link_mbps: 100,
         has_store: true,
+        is_cut: false,
         is_stopping,
         store_age_ms: 0,
         lease_fence: None,
--- a/crates/clementinepond_dispatch/tests/stream_origins.rs
+++ b/crates/clementinepond_dispatch/tests/stream_origins.rs
@@ -44,6 +44,7 @@
             directory: 7,
             link_mbps: 10,
             has_store: true,
+            is_cut: false,
             is_stopping: false,
             store_age_ms: 0,
             lease_fence: None,
--- a/crates/clementinepond_entry/src/caller/crash_probe.rs
+++ b/crates/clementinepond_entry/src/caller/crash_probe.rs
@@ -2,23 +2,18 @@
 
 use super::admission::AdmittedRequest;
 use crate::clock::BootClock;
-use crate::http::{ConnectFailure, open_connection};
-use crate::node::{EndpointIncarnation, EntryNode};
+use crate::node::{EndpointIncarnation, EntryNode, ReachVerdict};
 use clementinepond_dispatch::load::NameHash;
 use clementinepond_dispatch::stream::BodyFraming;
 use clementinepond_dispatch::suspect::{EndpointCrash, LostRun};
 use clementinepond_types::{LocalTime, TimeSpan};
 use fnv::FnvHashMap;
-use std::net::SocketAddrV4;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
 /// Time from a lost run to the probe of its endpoint, in which the other runs there are
 /// lost as well.
 const PROBE_DELAY: TimeSpan = TimeSpan::from_millis(5);
-/// Maximum time for a connection that shows whether an endpoint crashed or only its
-/// connection was lost.
-const PROBE_TIMEOUT: TimeSpan = TimeSpan::from_millis(250);
 
 /// Lost runs by the endpoint that may have crashed, while it is probed.
 pub(crate) type LostRuns = FnvHashMap<EndpointCrash, ProbedEndpoint>;
@@ -73,7 +68,7 @@
 /// Probes an endpoint, and counts its lost runs as evidence if it crashed.
 async fn probe_endpoint(node: Rc<EntryNode>, crash: EndpointCrash, endpoint: EndpointIncarnation) {
     tokio::time::sleep(PROBE_DELAY.duration()).await;
-    let has_crashed = refuses_connections(endpoint.address).await;
+    let has_crashed = has_crashed(&node, &endpoint).await;
     let lost = node.state.borrow_mut().lost_runs.remove(&crash);
     let Some(lost) = lost else {
         return;
@@ -91,9 +86,11 @@
     lost.probed.notify_waiters();
 }
 
-async fn refuses_connections(address: SocketAddrV4) -> bool {
-    let probe = open_connection(address, PROBE_TIMEOUT).await;
-    matches!(probe, Err(ConnectFailure::Refused))
+/// Returns whether an endpoint refuses connections, also those of a peer: this VM's link to
+/// it may be cut.
+async fn has_crashed(node: &EntryNode, endpoint: &EndpointIncarnation) -> bool {
+    let verdict = node.check_endpoint(&endpoint.id, endpoint.address).await;
+    verdict == ReachVerdict::Refused
 }
 
 /// Records that a request was answered with a complete success.
@@ -122,7 +119,7 @@
     }
     let (node, request) = (Rc::clone(node), Rc::clone(request));
     tokio::task::spawn_local(async move {
-        if refuses_connections(endpoint.address).await {
+        if has_crashed(&node, &endpoint).await {
             record_lost_run(&node, &request, &endpoint, sent_at).await;
         } else {
             node.apply_completion(request.suspects.clone());
--- a/crates/clementinepond_entry/src/caller/endpoint_search.rs
+++ b/crates/clementinepond_entry/src/caller/endpoint_search.rs
@@ -6,7 +6,9 @@
 use super::send_outcome::SendOutcome;
 use super::serve_request::{BLOCKED_RETRY_DELAY, HOLD_CHECK_INTERVAL, MAX_TRIAL_WAIT};
 use crate::clock::BootClock;
-use crate::endpoint::{Attempt, AttemptAnswer, AttemptFailure, ReuseRule, start_attempt};
+use crate::endpoint::{
+    Attempt, AttemptAnswer, AttemptContent, AttemptFailure, ReuseRule, start_attempt,
+};
 use crate::http::ConnectFailure;
 use crate::node::{EntryNode, PickQuery, PickedEndpoint, RefusalCause, increment};
 use clementinepond_dispatch::health::EndpointOutcome;
@@ -204,7 +206,7 @@
                 SendOutcome::Failed(AttemptFailure::NotSent(failure)) => {
                     return self.handle_unreachable(&picked, failure);
                 }
-                SendOutcome::Failed(_) | SendOutcome::Silent => {
+                SendOutcome::Failed(_) => {
                     return self.handle_lost(&picked, outcome, sent_at).await;
                 }
                 SendOutcome::Withdrawn => {
@@ -237,22 +239,28 @@
         let attempt = Attempt {
             endpoint: &picked.id,
             address: picked.address,
-            request: &request.outgoing,
-            request_id: request.profile.id.as_ref(),
-            headers: AttemptHeaders {
-                endpoint: &picked.id,
-                account: request.account.as_ref(),
-                time_left: TimeSpan::ZERO,
-                priority: request.engine().map(|_| self.rank(picked)),
-                resume_after: self.resume_after,
+            content: AttemptContent::Caller {
+                request: &request.outgoing,
+                headers: AttemptHeaders {
+                    endpoint: &picked.id,
+                    account: request.account.as_ref(),
+                    time_left: TimeSpan::ZERO,
+                    priority: request.engine().map(|_| self.rank(picked)),
+                    resume_after: self.resume_after,
+                },
             },
+            request_id: request.profile.id.as_ref(),
             deadline: request.deadline,
+            silence: None,
             reuse,
         };
         let left = BootClock::now().until(request.deadline);
-        let silence = self.silence_timeout(picked, left);
+        let attempt = Attempt {
+            silence: self.silence_timeout(picked, left),
+            ..attempt
+        };
         let attempt = start_attempt(&self.node, attempt);
-        let sent = tokio::time::timeout(silence.unwrap_or(left).duration(), attempt);
+        let sent = tokio::time::timeout(left.duration(), attempt);
         let sent = tokio::select! {
             sent = sent => sent,
             // An endpoint that has queued the request drops it, and does not crash.
@@ -261,7 +269,6 @@
         match sent {
             Ok(Ok(answer)) => SendOutcome::Answered(Box::new(answer)),
             Ok(Err(failure)) => SendOutcome::Failed(failure),
-            Err(_) if silence.is_some() => SendOutcome::Silent,
             Err(_) => SendOutcome::TimedOut,
         }
     }
@@ -389,6 +396,9 @@
         );
         self.node
             .record_outcome(&picked.id, EndpointOutcome::Unreachable);
+        if failure != ConnectFailure::Confirmed {
+            self.node.withhold_ejection(&picked.id);
+        }
         self.node.pool.forget(&picked.id);
         self.tried.push(picked.id.clone());
         // Nothing was sent, so neither the attempt limit nor the retry budget is charged.
@@ -416,6 +426,9 @@
             self.sent
         );
         self.record_failure(&picked.id, EndpointOutcome::Broken);
+        if matches!(outcome, SendOutcome::Failed(AttemptFailure::Silent)) {
+            self.node.spawn_endpoint_check(&picked.id, picked.address);
+        }
         if matches!(outcome, SendOutcome::Failed(AttemptFailure::Broken)) {
             let endpoint = picked.incarnation();
             record_lost_run(&self.node, &self.request, &endpoint, sent_at).await;
--- a/crates/clementinepond_entry/src/caller/readiness.rs
+++ b/crates/clementinepond_entry/src/caller/readiness.rs
@@ -104,11 +104,12 @@
 fn metrics_text(node: &EntryNode) -> String {
     let stats = &node.stats;
     let mut text = String::with_capacity(2_048);
-    let counters: [(&str, &Cell<u64>); 9] = [
+    let counters: [(&str, &Cell<u64>); 10] = [
         ("requests_answered_total", &stats.answered),
         ("requests_failed_total", &stats.failed),
         ("requests_refused_total", &stats.refused),
         ("requests_repeated_total", &stats.retries),
+        ("requests_forwarded_total", &stats.forwarded),
         ("callers_left_total", &stats.caller_left),
         ("store_calls_total", &stats.store_calls),
         ("orders_total", &stats.orders),
--- a/crates/clementinepond_entry/src/caller/send_outcome.rs
+++ b/crates/clementinepond_entry/src/caller/send_outcome.rs
@@ -9,8 +9,6 @@
     Answered(Box<AttemptAnswer>),
     /// The attempt failed.
     Failed(AttemptFailure),
-    /// No answer arrived in the time after which another endpoint may be tried.
-    Silent,
     /// No answer arrived before the request's deadline.
     TimedOut,
     /// The request was withdrawn before its answer, since requests like it crash endpoints.
@@ -23,8 +21,8 @@
         match self {
             Self::Answered(_) => "answered",
             Self::Failed(AttemptFailure::Foreign) => "foreign",
+            Self::Failed(AttemptFailure::Silent) => "silent",
             Self::Failed(_) => "broken",
-            Self::Silent => "silent",
             Self::TimedOut => "timed_out",
             Self::Withdrawn => "withdrawn",
         }
--- a/crates/clementinepond_entry/src/caller/stream.rs
+++ b/crates/clementinepond_entry/src/caller/stream.rs
@@ -9,8 +9,9 @@
 use super::request_end::{RequestEnd, StreamRecord};
 use super::unary::{ReadFailure, caller_headers, read_complete};
 use crate::clock::BootClock;
-use crate::node::{EntryNode, PickedEndpoint};
+use crate::node::{EntryNode, PickedEndpoint, ReachVerdict};
 use clementinepond_dispatch::health::EndpointOutcome;
+use clementinepond_dispatch::load::NameHash;
 use clementinepond_dispatch::stream::StreamOrigin;
 use clementinepond_types::{LocalTime, RequestId, TimeSpan};
 use http_body_util::BodyExt;
@@ -22,6 +23,10 @@
 /// Maximum number of parts buffered for a caller that reads slowly.
 const MAX_BUFFERED_PARTS: usize = 16;
 
+/// Time without an event after which the endpoint of a stream that another one may resume is
+/// checked; callers wait for two seconds.
+const SILENCE_CHECK_DELAY: TimeSpan = TimeSpan::from_millis(1_300);
+
 /// Time for which the origin of a stream is kept after its caller's timeout.
 const ORIGIN_SLACK: TimeSpan = TimeSpan::from_secs(2);
 
@@ -237,8 +242,9 @@
         } = started;
         let mut body = answer.response.into_body();
         let mut events = EventReader::new(answer.framing, is_resumable(&self.request));
+        let is_direct = answer.connection.is_direct();
         let end = self
-            .copy_body(&mut body, &mut events, &picked, sent_at)
+            .copy_body(&mut body, &mut events, &picked, sent_at, is_direct)
             .await;
         self.position = self
             .position
@@ -257,16 +263,34 @@
         events: &mut EventReader,
         picked: &PickedEndpoint,
         sent_at: LocalTime,
+        is_direct: bool,
     ) -> RelayEnd {
         let left = BootClock::now().until(self.request.deadline);
         let mut deadline = std::pin::pin!(tokio::time::sleep(left.duration()));
         let mut last_chunk = None;
+        let mut check = std::pin::pin!(tokio::time::sleep(SILENCE_CHECK_DELAY.duration()));
+        let mut checked_at = BootClock::now();
+        let is_checked = is_resumable(&self.request);
         loop {
             let frame = tokio::select! {
                 biased;
                 () = self.parts.closed() => return RelayEnd::CallerLeft,
                 frame = body.frame() => frame,
                 () = deadline.as_mut() => return RelayEnd::TimedOut,
+                () = check.as_mut(), if is_checked => {
+                    let since = last_chunk.unwrap_or(checked_at).max(checked_at);
+                    let mut due = since + SILENCE_CHECK_DELAY;
+                    if BootClock::now() >= due {
+                        if !self.is_reached(picked, is_direct).await {
+                            return RelayEnd::Broken;
+                        }
+                        checked_at = BootClock::now();
+                        due = checked_at + SILENCE_CHECK_DELAY;
+                    }
+                    let left = BootClock::now().until(due).duration();
+                    check.as_mut().reset(tokio::time::Instant::now() + left);
+                    continue;
+                }
             };
             let chunk = match frame {
                 None => return self.finish(events).await,
@@ -302,6 +326,14 @@
         }
     }
 
+    /// Returns whether the silent endpoint of a stream is reached on the stream's path.
+    async fn is_reached(&self, picked: &PickedEndpoint, is_direct: bool) -> bool {
+        let verdict = self.node.check_endpoint(&picked.id, picked.address).await;
+        let endpoint = NameHash::of(picked.id.as_str());
+        let is_forwarded = self.node.state.borrow().paths.is_forwarded(endpoint);
+        verdict == ReachVerdict::Reached && !(is_direct && is_forwarded)
+    }
+
     /// Records and announces the origin of a stream that may go on elsewhere, before the
     /// first of its events is relayed.
     fn record_origin(&mut self, picked: &PickedEndpoint) {
--- a/crates/clementinepond_entry/src/endpoint/attempt.rs
+++ b/crates/clementinepond_entry/src/endpoint/attempt.rs
@@ -1,13 +1,16 @@
 //! Attempt: sending a request to an endpoint on one connection.
 
-use super::{PooledConnection, ReuseRule};
+use super::{PoolKey, PooledConnection, ReuseRule};
 use crate::clock::BootClock;
+use crate::forward::forward;
 use crate::http::{ConnectFailure, Connection, open_endpoint_connection};
 use crate::node::EntryNode;
 use bytes::Bytes;
+use clementinepond_dispatch::load::NameHash;
 use clementinepond_dispatch::stream::BodyFraming;
 use clementinepond_platform::{
     AnswerHeaders, AttemptHeaders, read_answer, read_keep_alive, write_attempt_headers,
+    write_time_left,
 };
 use clementinepond_types::{EndpointId, LocalTime, RequestId, TimeSpan};
 use derive_more::{Display, Error};
@@ -40,6 +43,9 @@
     /// The connection was lost; the request may have run.
     #[display("connection lost before the answer arrived; the request may have run")]
     Broken,
+    /// No answer arrived in the time after which another endpoint may be tried.
+    #[display("no answer yet; the request may run")]
+    Silent,
     /// The answer belongs to another request or lacks the server's signature.
     #[display("answer belongs to another request or is not signed; the request may have run")]
     Foreign,
@@ -65,54 +71,158 @@
 #[derive(Debug)]
 pub(crate) struct AnswerConnection {
     connection: Connection,
-    endpoint: EndpointId,
-    /// Idle timeout that the endpoint stated, if any.
+    key: PoolKey,
+    /// Idle timeout that the server stated, if any.
     stated_timeout: Option<TimeSpan>,
-    /// Whether the endpoint stated that it closes the connection.
+    /// Whether the server stated that it closes the connection.
     closes: bool,
 }
 
 impl AnswerConnection {
+    /// Returns whether the connection leads to the endpoint itself.
+    pub(crate) const fn is_direct(&self) -> bool {
+        matches!(self.key, PoolKey::Endpoint(_))
+    }
+
     /// Returns the connection to the pool after a complete answer.
     pub(crate) fn finish(self, node: &EntryNode) {
         if self.closes || self.connection.sender.is_closed() {
             return;
         }
         let pooled = PooledConnection::new(self.connection, self.stated_timeout, BootClock::now());
-        node.pool.put(&self.endpoint, pooled);
+        node.pool.put(self.key, pooled);
     }
 }
 
+/// What an attempt sends.
+#[derive(Debug, Clone)]
+pub(crate) enum AttemptContent<'a> {
+    /// Caller's request, with the headers of this attempt.
+    Caller {
+        request: &'a OutgoingRequest,
+        headers: AttemptHeaders<'a>,
+    },
+    /// Request as a peer wrote it; only the time left is written again.
+    Forwarded(&'a OutgoingRequest),
+}
+
 /// Request and target of an attempt.
 #[derive(Debug)]
 pub(crate) struct Attempt<'a> {
     pub(crate) endpoint: &'a EndpointId,
     pub(crate) address: SocketAddrV4,
-    pub(crate) request: &'a OutgoingRequest,
+    pub(crate) content: AttemptContent<'a>,
     pub(crate) request_id: Option<&'a RequestId>,
-    pub(crate) headers: AttemptHeaders<'a>,
     pub(crate) deadline: LocalTime,
+    /// Time from sending until another endpoint is tried; `None` to wait until the deadline.
+    pub(crate) silence: Option<TimeSpan>,
     pub(crate) reuse: ReuseRule,
 }
 
-/// Sends the request and waits for the head of the answer.
+impl Attempt<'_> {
+    /// Returns the request as it is sent now.
+    pub(crate) fn outgoing(&self) -> Request<Full<Bytes>> {
+        let time_left = BootClock::now().until(self.deadline);
+        let (source, headers) = match &self.content {
+            AttemptContent::Caller { request, headers } => {
+                let marks = AttemptHeaders {
+                    time_left,
+                    ..headers.clone()
+                };
+                let mut headers = request.headers.clone();
+                write_attempt_headers(&mut headers, &marks);
+                (request, headers)
+            }
+            AttemptContent::Forwarded(request) => {
+                let mut headers = request.headers.clone();
+                write_time_left(&mut headers, time_left);
+                (request, headers)
+            }
+        };
+        let mut request = Request::new(Full::new(source.body.clone()));
+        *request.method_mut() = source.method.clone();
+        *request.uri_mut() = source.uri.clone();
+        *request.headers_mut() = headers;
+        request.headers_mut().remove(EXPECT);
+        request.headers_mut().remove(CONTENT_LENGTH);
+        request
+    }
+}
+
+/// Sends the request, directly or through a peer, and waits for the head of the answer.
 ///
 /// Dropping the future closes the connection, which makes the endpoint stop the request.
 pub(crate) async fn start_attempt(
     node: &Rc<EntryNode>,
     attempt: Attempt<'_>,
 ) -> Result<AttemptAnswer, AttemptFailure> {
-    let mut kept = node
-        .pool
-        .take(attempt.endpoint, attempt.reuse)
-        .map(|pooled| pooled.connection);
+    let endpoint = NameHash::of(attempt.endpoint.as_str());
+    if node.state.borrow().paths.is_forwarded(endpoint) {
+        return forward(node, &attempt).await;
+    }
+    let failure = match send_directly(node, &attempt).await {
+        Err(AttemptFailure::NotSent(failure)) => failure,
+        sent => return sent,
+    };
+    if !node.may_forward(endpoint) {
+        return Err(AttemptFailure::NotSent(failure));
+    }
+    // The peer shows whether the endpoint is at fault or this VM's link to it.
+    let forwarded = forward(node, &attempt).await;
+    match forwarded {
+        Ok(_) => node.record_failed_link(attempt.endpoint, failure),
+        Err(AttemptFailure::NotSent(ConnectFailure::Confirmed)) => {
+            node.record_endpoint_down(attempt.endpoint);
+        }
+        // No peer took the request.
+        Err(AttemptFailure::NotSent(_)) => return Err(AttemptFailure::NotSent(failure)),
+        Err(_) => {}
+    }
+    forwarded
+}
+
+/// Sends the request to the endpoint itself and waits for the head of the answer.
+pub(crate) async fn send_directly(
+    node: &EntryNode,
+    attempt: &Attempt<'_>,
+) -> Result<AttemptAnswer, AttemptFailure> {
+    let key = PoolKey::Endpoint(attempt.endpoint.clone());
+    let connect = || open_endpoint_connection(attempt.address, CONNECT_TIMEOUT);
+    let served = exchange(node, key, attempt.reuse, attempt.silence, connect, || {
+        attempt.outgoing()
+    })
+    .await?;
+    accept(node, attempt, served)
+}
+
+/// Head of an answer, of whatever server.
+#[derive(Debug)]
+pub(crate) struct ServedExchange {
+    pub(crate) connection: Connection,
+    pub(crate) key: PoolKey,
+    pub(crate) response: Response<Incoming>,
+    pub(crate) sent_at: LocalTime,
+}
+
+/// Sends a request on a kept or a new connection and waits for the head of the answer, for
+/// at most `silence` if that is set.
+pub(crate) async fn exchange<F>(
+    node: &EntryNode,
+    key: PoolKey,
+    reuse: ReuseRule,
+    silence: Option<TimeSpan>,
+    connect: impl Fn() -> F,
+    request: impl Fn() -> Request<Full<Bytes>>,
+) -> Result<ServedExchange, AttemptFailure>
+where
+    F: Future<Output = Result<Connection, ConnectFailure>>,
+{
+    let mut kept = node.pool.take(&key, reuse).map(|pooled| pooled.connection);
     loop {
         let was_kept = kept.is_some();
         let mut connection = match kept.take() {
             Some(connection) => connection,
-            None => open_endpoint_connection(attempt.address, CONNECT_TIMEOUT)
-                .await
-                .map_err(AttemptFailure::NotSent)?,
+            None => connect().await.map_err(AttemptFailure::NotSent)?,
         };
         if connection.sender.ready().await.is_err() {
             if was_kept {
@@ -120,10 +230,23 @@
             }
             return Err(AttemptFailure::NotSent(ConnectFailure::Failed));
         }
-        let request = outgoing(&attempt);
         let sent_at = BootClock::now();
-        match connection.sender.try_send_request(request).await {
-            Ok(response) => return accept(node, attempt, connection, response, sent_at),
+        let sending = connection.sender.try_send_request(request());
+        let sent = match silence {
+            Some(silence) => tokio::time::timeout(silence.duration(), sending)
+                .await
+                .map_err(|_| AttemptFailure::Silent)?,
+            None => sending.await,
+        };
+        match sent {
+            Ok(response) => {
+                return Ok(ServedExchange {
+                    connection,
+                    key,
+                    response,
+                    sent_at,
+                });
+            }
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
                 if is_unsent && was_kept {
@@ -138,37 +261,18 @@
     }
 }
 
-/// Returns the request as it is sent to the endpoint.
-fn outgoing(attempt: &Attempt<'_>) -> Request<Full<Bytes>> {
-    let mut headers = attempt.request.headers.clone();
-    headers.remove(EXPECT);
-    headers.remove(CONTENT_LENGTH);
-    let time_left = BootClock::now().until(attempt.deadline);
-    let marks = AttemptHeaders {
-        time_left,
-        ..attempt.headers.clone()
-    };
-    write_attempt_headers(&mut headers, &marks);
-    let mut request = Request::new(Full::new(attempt.request.body.clone()));
-    *request.method_mut() = attempt.request.method.clone();
-    *request.uri_mut() = attempt.request.uri.clone();
-    *request.headers_mut() = headers;
-    request
-}
-
 /// Checks that the answer belongs to the request and, if it is a success, is signed.
-fn accept(
+pub(crate) fn accept(
     node: &EntryNode,
-    attempt: Attempt<'_>,
-    connection: Connection,
-    response: Response<Incoming>,
-    sent_at: LocalTime,
+    attempt: &Attempt<'_>,
+    served: ServedExchange,
 ) -> Result<AttemptAnswer, AttemptFailure> {
+    let response = served.response;
     let mark = read_answer(response.headers());
     let is_from_endpoint = mark.instance.as_deref() == Some(attempt.endpoint.as_str())
         || (mark.instance.is_none() && response.status() != StatusCode::MISDIRECTED_REQUEST);
     if is_from_endpoint {
-        node.record_limit(attempt.endpoint, mark.limit, sent_at);
+        node.record_limit(attempt.endpoint, mark.limit, served.sent_at);
     }
     let is_foreign = mark.request.is_some() && mark.request.as_ref() != attempt.request_id;
     let is_unsigned_success = response.status().is_success() && !mark.is_signed;
@@ -184,8 +288,8 @@
     }
     let (stated_timeout, closes) = read_keep_alive(response.headers());
     let connection = AnswerConnection {
-        connection,
-        endpoint: attempt.endpoint.clone(),
+        connection: served.connection,
+        key: served.key,
         stated_timeout,
         closes,
     };
--- a/crates/clementinepond_entry/src/endpoint/mod.rs
+++ b/crates/clementinepond_entry/src/endpoint/mod.rs
@@ -4,6 +4,9 @@
 mod pool;
 mod pooled_connection;
 
-pub(crate) use attempt::{Attempt, AttemptAnswer, AttemptFailure, OutgoingRequest, start_attempt};
-pub(crate) use pool::ConnectionPool;
+pub(crate) use attempt::{
+    AnswerConnection, Attempt, AttemptAnswer, AttemptContent, AttemptFailure, OutgoingRequest,
+    accept, exchange, send_directly, start_attempt,
+};
+pub(crate) use pool::{ConnectionPool, PoolKey};
 pub(crate) use pooled_connection::{PooledConnection, ReuseRule};
--- a/crates/clementinepond_entry/src/http/connect/mod.rs
+++ b/crates/clementinepond_entry/src/http/connect/mod.rs
@@ -43,6 +43,9 @@
     /// Any other error.
     #[display("connection failed")]
     Failed,
+    /// A peer could not connect either.
+    #[display("no connection from this VM or a peer")]
+    Confirmed,
 }
 
 /// Open HTTP connection; closed when dropped.
--- a/crates/clementinepond_entry/src/lib.rs
+++ b/crates/clementinepond_entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod clock;
 mod endpoint;
+mod forward;
 mod http;
 mod log_sink;
 mod node;
--- a/crates/clementinepond_entry/src/node/entry_node.rs
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -7,6 +7,7 @@
 use super::send_permit::PermitWaits;
 use crate::caller::{AnswerMemory, LostRuns};
 use crate::endpoint::ConnectionPool;
+use crate::forward::ForwardLoad;
 use crate::peer::PeerSocket;
 use crate::settings::EntrySettings;
 use crate::store::WatchTarget;
@@ -19,6 +20,7 @@
 use clementinepond_dispatch::peer::{LinkBudget, PeerHeartbeat, PeerTable};
 use clementinepond_dispatch::placement::{DemandMeter, PlacementPlanner};
 use clementinepond_dispatch::quota::RateLimiter;
+use clementinepond_dispatch::reach::PathTable;
 use clementinepond_dispatch::select::PrefixCacheIndex;
 use clementinepond_dispatch::send_limit::{LimitTable, PermitLedger};
 use clementinepond_dispatch::stream::OriginTable;
@@ -56,6 +58,9 @@
     pub(crate) endpoint_revision: u64,
     pub(crate) health: HealthTable,
     pub(crate) loads: LoadTable,
+    pub(crate) paths: PathTable,
+    /// Endpoints that are being checked since they did not answer.
+    pub(crate) checked_endpoints: FnvHashSet<NameHash>,
     pub(crate) limits: LimitTable,
     /// Permits for endpoints whose limit this VM owns.
     pub(crate) permits: PermitLedger,
@@ -87,7 +92,8 @@
     pub(crate) lease: Option<PlacementLease>,
     /// Planner of each service; used while this VM holds the placement lease.
     pub(crate) planners: FnvHashMap<ServiceId, PlacementPlanner>,
-    /// Endpoints that this VM ejected recently, reported to peers in heartbeats.
+    /// Endpoints that this VM ejected recently, with the time from which heartbeats report
+    /// them to the peers.
     pub(crate) ejected_here: FnvHashMap<NameHash, LocalTime>,
     /// Limit of the snapshots served to peers.
     pub(crate) snapshot_budget: LinkBudget,
@@ -124,6 +130,7 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) stats: NodeStats,
     pub(crate) answer_memory: AnswerMemory,
+    pub(crate) forward_load: ForwardLoad,
     /// Time of the stop signal; `None` while the VM serves.
     pub(crate) stopping_since: Cell<Option<LocalTime>>,
     /// Wakes the watches and the fetches when a peer has sent its state.
@@ -154,6 +161,8 @@
             endpoint_revision: 0,
             health: HealthTable::default(),
             loads: LoadTable::default(),
+            paths: PathTable::default(),
+            checked_endpoints: FnvHashSet::default(),
             limits: LimitTable::default(),
             permits: PermitLedger::default(),
             permit_waits: PermitWaits::default(),
@@ -187,6 +196,7 @@
             pool: ConnectionPool::default(),
             stats: NodeStats::default(),
             answer_memory: AnswerMemory::default(),
+            forward_load: ForwardLoad::default(),
             stopping_since: Cell::new(None),
             peer_updated: Notify::new(),
             placement_changed: Notify::new(),
--- a/crates/clementinepond_entry/src/node/fleet_state.rs
+++ b/crates/clementinepond_entry/src/node/fleet_state.rs
@@ -283,6 +283,7 @@
             state.prefix_cache.remove(key);
             state.loads.remove_queue(key);
             state.limits.remove(key);
+            state.paths.remove(key);
             state.permits.remove(key);
         }
         if change != EndpointChange::Same {
@@ -401,6 +402,7 @@
                 state.prefix_cache.remove(key);
                 state.loads.remove_queue(key);
                 state.limits.remove(key);
+                state.paths.remove(key);
                 state.permits.remove(key);
                 self.pool.forget(&id);
                 log::info!("event=endpoint_gone endpoint={id}");
--- a/crates/clementinepond_entry/src/node/outcome.rs
+++ b/crates/clementinepond_entry/src/node/outcome.rs
@@ -13,8 +13,18 @@
 const SLOWDOWN_RANGE: (f64, f64) = (0.4, 6.0);
 /// Weight of a new measurement in the moving average of an endpoint's service time.
 const SERVICE_TIME_WEIGHT: f64 = 0.1;
+/// Delay after which an ejection for lost connections is reported to the peers; a check of
+/// the endpoint takes less.
+const UNCHECKED_REPORT_DELAY: TimeSpan = TimeSpan::from_millis(600);
 
 impl EntryNode {
+    /// Keeps the ejection of an endpoint from the peers, since only this VM is known not to
+    /// reach it.
+    pub(crate) fn withhold_ejection(&self, id: &EndpointId) {
+        let mut state = self.state.borrow_mut();
+        state.ejected_here.remove(&NameHash::of(id.as_str()));
+    }
+
     /// Records the outcome of a request at an endpoint, which may eject the endpoint.
     pub(crate) fn record_outcome(&self, id: &EndpointId, outcome: EndpointOutcome) {
         let now = BootClock::now();
@@ -33,7 +43,13 @@
             .map(|known| known.entry.id.clone())
             .collect();
         if state.health.record(id, outcome, &peers, now) {
-            state.ejected_here.insert(NameHash::of(id.as_str()), now);
+            // A lost connection may be a fault of this VM's link, which a check shows.
+            let delay = match outcome {
+                EndpointOutcome::Broken => UNCHECKED_REPORT_DELAY,
+                _ => TimeSpan::ZERO,
+            };
+            let endpoint = NameHash::of(id.as_str());
+            state.ejected_here.insert(endpoint, now + delay);
             log::info!("event=endpoint_ejected endpoint={id} outcome={outcome:?}");
         }
     }
--- a/crates/clementinepond_entry/src/node/peers.rs
+++ b/crates/clementinepond_entry/src/node/peers.rs
@@ -156,6 +156,7 @@
             directory: state.endpoint_revision,
             link_mbps: self.settings().capacity.link(),
             has_store: state.failing_kinds == 0,
+            is_cut: state.paths.is_cut(),
             is_stopping: self.stopping_since.get().is_some(),
             store_age_ms: u32::try_from(now.since(state.store_answered_at).millis())
                 .unwrap_or(u32::MAX),
@@ -164,7 +165,12 @@
             accounts: accounts.collect(),
             loads: state.loads.own_loads(),
             demand: state.demand.snapshot(now),
-            ejected: state.ejected_here.keys().copied().collect(),
+            ejected: state
+                .ejected_here
+                .iter()
+                .filter(|(_, from)| now >= **from)
+                .map(|(endpoint, _)| *endpoint)
+                .collect(),
         }
     }
 
--- a/crates/clementinepond_entry/src/node/stats.rs
+++ b/crates/clementinepond_entry/src/node/stats.rs
@@ -17,6 +17,8 @@
     pub(crate) refused: Cell<u64>,
     /// Retries charged to the retry budget.
     pub(crate) retries: Cell<u64>,
+    /// Requests sent through peers.
+    pub(crate) forwarded: Cell<u64>,
     /// Callers that disconnected before their answer started.
     pub(crate) caller_left: Cell<u64>,
     /// Calls of the store by the watches, the lease and the configuration read.
--- a/crates/clementinepond_entry/src/peer/snapshot.rs
+++ b/crates/clementinepond_entry/src/peer/snapshot.rs
@@ -1,11 +1,13 @@
-//! Snapshots of the configuration and the endpoint directory, served to peers.
+//! Calls of peers: snapshots of the configuration and the endpoint directory, and requests
+//! that they forward.
 
 use super::traffic::TrafficKind;
 use crate::clock::BootClock;
+use crate::forward::{PeerBody, REACH_PATH, answer_reach, is_forwarded, serve_forwarded};
 use crate::http::tune_socket;
 use crate::node::EntryNode;
 use clementinepond_types::VmId;
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -18,6 +20,7 @@
 use std::rc::Rc;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// Request path of the snapshot.
 pub(super) const SNAPSHOT_PATH: &str = "/snapshot";
@@ -48,10 +51,11 @@
     pub(super) vms: Vec<(VmId, SocketAddrV4)>,
 }
 
-/// Serves snapshots until the VM stops.
-pub(crate) async fn serve_snapshots(
+/// Serves calls of peers until the VM stops; `tracker` holds the requests that they forward.
+pub(crate) async fn serve_peers(
     node: Rc<EntryNode>,
     listener: TcpListener,
+    tracker: TaskTracker,
     stop: CancellationToken,
 ) {
     loop {
@@ -63,12 +67,11 @@
             continue;
         };
         tune_socket(&stream);
-        let node = Rc::clone(&node);
+        let (node, tracker) = (Rc::clone(&node), tracker.clone());
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request: Request<Incoming>| {
-                let uri = request.uri();
-                let response = answer(&node, uri.path(), uri.query().unwrap_or(""));
-                std::future::ready(Ok::<_, Infallible>(response))
+                let (node, tracker) = (Rc::clone(&node), tracker.clone());
+                async move { Ok::<_, Infallible>(answer_peer(node, request, tracker).await) }
             });
             let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(error) = served.await {
@@ -78,6 +81,21 @@
     }
 }
 
+async fn answer_peer(
+    node: Rc<EntryNode>,
+    request: Request<Incoming>,
+    tracker: TaskTracker,
+) -> Response<PeerBody> {
+    let uri = request.uri();
+    if is_forwarded(&request) {
+        serve_forwarded(node, request, tracker).await
+    } else if uri.path().starts_with(REACH_PATH) {
+        answer_reach(&node, uri.path()).await
+    } else {
+        answer(&node, uri.path(), uri.query().unwrap_or("")).map(Either::Left)
+    }
+}
+
 fn answer(node: &EntryNode, path: &str, query: &str) -> Response<Full<Bytes>> {
     let (status, body) = if path != SNAPSHOT_PATH {
         (StatusCode::NOT_FOUND, Vec::new())
--- a/crates/clementinepond_entry/src/peer/socket.rs
+++ b/crates/clementinepond_entry/src/peer/socket.rs
@@ -161,6 +161,13 @@
         PeerMessage::BlockedSuspects { blocked, is_reply } => {
             node.apply_blocked_reports(blocked, is_reply, address);
         }
+        PeerMessage::Reach {
+            incarnation,
+            is_cut,
+        } => {
+            let mut state = node.state.borrow_mut();
+            state.peers.record_reach(&from, incarnation, is_cut, now);
+        }
         PeerMessage::SendLimit(report) => node.apply_limit_report(&report),
         PeerMessage::PermitQuery { ticket, limit } => {
             node.answer_permit_query(ticket, &limit, address);
--- a/crates/clementinepond_entry/src/peer/traffic.rs
+++ b/crates/clementinepond_entry/src/peer/traffic.rs
@@ -52,6 +52,7 @@
             | PeerMessage::Completions(_)
             | PeerMessage::BlockedDigest { .. }
             | PeerMessage::BlockedSuspects { .. }
+            | PeerMessage::Reach { .. }
             | PeerMessage::SendLimit(_)
             | PeerMessage::PermitQuery { .. }
             | PeerMessage::PermitReply { .. }
--- a/crates/clementinepond_entry/src/placement_lease/lease_task.rs
+++ b/crates/clementinepond_entry/src/placement_lease/lease_task.rs
@@ -49,17 +49,19 @@
             () = tokio::time::sleep(TICK_INTERVAL.duration()) => {}
         }
         let now = BootClock::now();
-        let (holder_live, peers) = {
+        let (holder_live, peers, can_order) = {
             let state = node.state.borrow();
             (
                 state.has_live_holder(now),
                 state.peers.peer_counts(now).1 as u64,
+                !state.paths.is_cut(),
             )
         };
         let takeover_delay = first_delay.fraction(peers.max(STAGGER_FLEET_VMS), STAGGER_FLEET_VMS);
         let tick = LeaseEvent::Tick {
             holder_live,
             takeover_delay,
+            can_order,
         };
         let effects = reduce(&node, tick, now);
         perform(&node, &mut client, effects).await;
--- a/crates/clementinepond_entry/src/placement_lease/order_task.rs
+++ b/crates/clementinepond_entry/src/placement_lease/order_task.rs
@@ -330,9 +330,11 @@
 }
 
 impl EntryNode {
-    /// Returns the fencing number if this VM may send orders now.
+    /// Returns the fencing number if this VM may send orders now and reaches endpoints.
     pub(crate) fn order_fence(&self, now: LocalTime) -> Option<u64> {
-        self.state.borrow().lease.as_ref()?.fence(now)
+        let state = self.state.borrow();
+        let fence = state.lease.as_ref()?.fence(now);
+        fence.filter(|_| !state.paths.is_cut())
     }
 
     /// Prepares the planners after the lease was acquired: they keep their state if no other
--- a/crates/clementinepond_entry/src/run.rs
+++ b/crates/clementinepond_entry/src/run.rs
@@ -6,7 +6,7 @@
 use crate::node::EntryNode;
 use crate::peer::{
     PeerSocket, fetch_newer_configuration, fetch_newer_entries, run_heartbeats, run_receiver,
-    serve_snapshots,
+    serve_peers,
 };
 use crate::placement_lease::{release_lease, run_lease, run_orders};
 use crate::settings::{EntrySettings, ListenSettings, SettingsError};
@@ -100,7 +100,8 @@
     spawn_background(&node, &socket, &placement_stop, &ended);
     tokio::task::spawn_local(serve_readiness(Rc::clone(&node), readiness, ended.clone()));
     tokio::task::spawn_local(serve_metrics(Rc::clone(&node), metrics, ended.clone()));
-    tokio::task::spawn_local(serve_snapshots(Rc::clone(&node), snapshots, ended.clone()));
+    let peers = serve_peers(Rc::clone(&node), snapshots, tracker.clone(), ended.clone());
+    tokio::task::spawn_local(peers);
     let callers = serve_callers(Rc::clone(&node), callers, stages.clone(), tracker.clone());
     tokio::task::spawn_local(callers);
 
@@ -140,6 +141,7 @@
         node.sweep_endpoints(BootClock::now());
         node.apply_crash_event(CrashEvent::Tick, None);
         node.pool.sweep();
+        node.probe_failed_links();
         flush_log();
     }
 }
