--- a/crates/clementinepond/tests/entry/main.rs
+++ b/crates/clementinepond/tests/entry/main.rs
@@ -7,6 +7,7 @@
 )]
 
 mod blocked_suspects;
+mod brittle_endpoints;
 mod broken_answers;
 mod caller_disconnects;
 mod configuration;
--- a/crates/clementinepond/tests/entry/support.rs
+++ b/crates/clementinepond/tests/entry/support.rs
@@ -227,6 +227,7 @@
         software: "v1".into(),
         models: models.iter().map(|&name| name.to_owned()).collect(),
         model_slots: 2,
+        slots: 64,
         events: 8,
         event_delay: Duration::from_millis(20),
         at_most_once_prefix: "/chat/".into(),
--- a/crates/clementinepond_soak/src/deployment.rs
+++ b/crates/clementinepond_soak/src/deployment.rs
@@ -67,6 +67,7 @@
                     Vec::new()
                 },
                 model_slots: 2,
+                slots: 64,
                 events: STREAM_EVENTS,
                 event_delay: Duration::from_millis(10),
                 at_most_once_prefix: "/chat/".into(),
