--- a/crates/clementinepond_dispatch/src/peer/forwarder.rs
+++ b/crates/clementinepond_dispatch/src/peer/forwarder.rs
@@ -33,16 +33,6 @@
             .map(|(_, vm, address)| (vm.clone(), address))
     }
 
-    /// Returns whether a peer may forward further requests.
-    #[must_use]
-    pub fn is_forwarder(&self, vm: &VmId, now: LocalTime) -> bool {
-        self.live(now).any(|(peer_vm, peer)| {
-            let heartbeat = peer.heartbeat.as_ref();
-            peer_vm == vm
-                && heartbeat.is_some_and(|heartbeat| !heartbeat.is_cut && !heartbeat.is_stopping)
-        })
-    }
-
     /// Records that a peer is cut off from the endpoints, or no longer is, if the process is
     /// the one of its last heartbeat.
     pub fn record_reach(&mut self, vm: &VmId, incarnation: u64, is_cut: bool, now: LocalTime) {
