--- a/crates/clementinepond/src/command/entry_log_event.rs
+++ b/crates/clementinepond/src/command/entry_log_event.rs
@@ -74,6 +74,11 @@
         "",
         "this VM no longer holds the placement lease",
     ),
+    event(
+        "endpoint_brittle",
+        "endpoint most",
+        "an endpoint states that it falls over after more than `most` rejections in a second, or no longer does",
+    ),
     event(
         "endpoint_changed",
         "endpoint change phase models revision source",
--- a/crates/clementinepond_dispatch/src/fleet/mod.rs
+++ b/crates/clementinepond_dispatch/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod request;
 mod service_id;
 mod software_version;
+mod stated;
 
 pub use account::{AccountPolicy, QuotaUnit};
 pub use endpoint::{EndpointEntry, EndpointPhase, HostedModel, InstanceLoad};
@@ -15,3 +16,4 @@
 pub use request::{ModelTarget, PromptBlock, RequestProfile, TokenDemand};
 pub use service_id::ServiceId;
 pub use software_version::{SoftwareVersion, SoftwareVersionError};
+pub use stated::Stated;
--- a/crates/clementinepond_dispatch/src/lib.rs
+++ b/crates/clementinepond_dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod placement;
 pub mod quota;
 pub mod reach;
+pub mod rejection;
 pub mod select;
 pub mod send_limit;
 pub mod stream;
--- a/crates/clementinepond_dispatch/src/peer/message.rs
+++ b/crates/clementinepond_dispatch/src/peer/message.rs
@@ -236,6 +236,13 @@
         /// Whether it is cut off.
         is_cut: bool,
     },
+    /// A brittle endpoint had no room for a request.
+    Rejection {
+        /// Endpoint.
+        endpoint: NameHash,
+        /// Number of rejections in a second that it survives.
+        most: u32,
+    },
     /// An endpoint states a limit, another one or no longer one.
     SendLimit(LimitReport),
     /// Query to the owner of an endpoint's limit for a permit to send one call.
--- a/crates/clementinepond_dispatch/src/send_limit/limit_table.rs
+++ b/crates/clementinepond_dispatch/src/send_limit/limit_table.rs
@@ -1,6 +1,7 @@
 //! Limits that a VM knows, and the endpoints that take no further request for now.
 
 use super::SendRate;
+use crate::fleet::Stated;
 use crate::load::NameHash;
 use clementinepond_types::{LocalTime, TimeSpan};
 use fnv::FnvHashMap;
@@ -12,18 +13,6 @@
 /// does not bring it back.
 const LIFTED_RETENTION: TimeSpan = TimeSpan::from_secs(20);
 
-/// What an answer states about its endpoint's limit.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum LimitStatement {
-    /// The endpoint states no limit.
-    #[default]
-    Unlimited,
-    /// The endpoint takes this rate from all VMs together.
-    Limited(SendRate),
-    /// The statement cannot be read; what is known stays in force.
-    Unreadable,
-}
-
 /// Limit of one endpoint.
 #[derive(Debug, Clone)]
 struct KnownLimit {
@@ -48,15 +37,15 @@
     pub fn record_answer(
         &mut self,
         endpoint: NameHash,
-        statement: LimitStatement,
+        statement: Stated<SendRate>,
         sent_at: LocalTime,
         now: LocalTime,
     ) -> bool {
         let (rate, known_at) = match statement {
-            LimitStatement::Limited(rate) => (Some(rate), now),
+            Stated::Value(rate) => (Some(rate), now),
             // The answer may be older than one that stated a limit and overtook it.
-            LimitStatement::Unlimited => (None, sent_at),
-            LimitStatement::Unreadable => return false,
+            Stated::Absent => (None, sent_at),
+            Stated::Unreadable => return false,
         };
         if !self.record_report(endpoint, rate, known_at) {
             return false;
--- a/crates/clementinepond_dispatch/src/send_limit/mod.rs
+++ b/crates/clementinepond_dispatch/src/send_limit/mod.rs
@@ -11,6 +11,6 @@
 mod permit_ledger;
 mod send_rate;
 
-pub use limit_table::{LimitStatement, LimitTable};
+pub use limit_table::LimitTable;
 pub use permit_ledger::{PermitLedger, PermitVerdict};
 pub use send_rate::{RateError, SendRate};
--- a/crates/clementinepond_entry/src/caller/endpoint_search.rs
+++ b/crates/clementinepond_entry/src/caller/endpoint_search.rs
@@ -357,6 +357,9 @@
             state.placement.record_absent(endpoint, model, now);
         } else {
             self.node.record_outcome(&picked.id, outcome);
+            if !is_other_instance {
+                self.node.record_rejection(&picked.id);
+            }
         }
         self.tried.push(picked.id.clone());
         if self.take_retry() {
--- a/crates/clementinepond_entry/src/endpoint/attempt.rs
+++ b/crates/clementinepond_entry/src/endpoint/attempt.rs
@@ -273,6 +273,7 @@
         || (mark.instance.is_none() && response.status() != StatusCode::MISDIRECTED_REQUEST);
     if is_from_endpoint {
         node.record_limit(attempt.endpoint, mark.limit, served.sent_at);
+        node.record_brittleness(attempt.endpoint, mark.brittle, served.sent_at);
     }
     let is_foreign = mark.request.is_some() && mark.request.as_ref() != attempt.request_id;
     let is_unsigned_success = response.status().is_success() && !mark.is_signed;
--- a/crates/clementinepond_entry/src/node/entry_node.rs
+++ b/crates/clementinepond_entry/src/node/entry_node.rs
@@ -21,6 +21,7 @@
 use clementinepond_dispatch::placement::{DemandMeter, PlacementPlanner};
 use clementinepond_dispatch::quota::RateLimiter;
 use clementinepond_dispatch::reach::PathTable;
+use clementinepond_dispatch::rejection::RejectionTable;
 use clementinepond_dispatch::select::PrefixCacheIndex;
 use clementinepond_dispatch::send_limit::{LimitTable, PermitLedger};
 use clementinepond_dispatch::stream::OriginTable;
@@ -61,6 +62,7 @@
     pub(crate) paths: PathTable,
     /// Endpoints that are being checked since they did not answer.
     pub(crate) checked_endpoints: FnvHashSet<NameHash>,
+    pub(crate) rejections: RejectionTable,
     pub(crate) limits: LimitTable,
     /// Permits for endpoints whose limit this VM owns.
     pub(crate) permits: PermitLedger,
@@ -163,6 +165,7 @@
             loads: LoadTable::default(),
             paths: PathTable::default(),
             checked_endpoints: FnvHashSet::default(),
+            rejections: RejectionTable::default(),
             limits: LimitTable::default(),
             permits: PermitLedger::default(),
             permit_waits: PermitWaits::default(),
--- a/crates/clementinepond_entry/src/node/fleet_state.rs
+++ b/crates/clementinepond_entry/src/node/fleet_state.rs
@@ -282,6 +282,7 @@
             let key = NameHash::of(id.as_str());
             state.prefix_cache.remove(key);
             state.loads.remove_queue(key);
+            state.rejections.remove(key);
             state.limits.remove(key);
             state.paths.remove(key);
             state.permits.remove(key);
@@ -401,6 +402,7 @@
                 let key = NameHash::of(id.as_str());
                 state.prefix_cache.remove(key);
                 state.loads.remove_queue(key);
+                state.rejections.remove(key);
                 state.limits.remove(key);
                 state.paths.remove(key);
                 state.permits.remove(key);
--- a/crates/clementinepond_entry/src/node/mod.rs
+++ b/crates/clementinepond_entry/src/node/mod.rs
@@ -9,6 +9,7 @@
 mod pick;
 mod placement;
 mod reach;
+mod rejection;
 mod run_update;
 mod send_permit;
 mod stats;
--- a/crates/clementinepond_entry/src/node/pick.rs
+++ b/crates/clementinepond_entry/src/node/pick.rs
@@ -1,6 +1,7 @@
 //! Choice of an endpoint for a request, and tracking of the request in flight.
 
 use super::EntryNode;
+use super::rejection::with_room;
 use super::send_permit::{permitted, without_limited_orders};
 use crate::clock::BootClock;
 use clementinepond_dispatch::directory::{KnownEndpoint, Presence};
@@ -184,6 +185,7 @@
             .collect();
         let hosting = if open.is_empty() { hosting } else { open };
         let hosting = permitted(state, hosting, now)?;
+        let hosting = with_room(state, hosting, Some(engine.slots), now)?;
         let owners = session_owners(query.profile, &hosting);
         let shared_tokens = shared_tokens(query.profile);
         let candidates: Vec<EngineCandidate<'_>> = hosting
@@ -307,7 +309,8 @@
             .usable(query.service, now)
             .filter(|known| query.allows(known))
             .collect();
-        let candidates: Vec<ServiceCandidate<'_>> = permitted(state, allowed, now)?
+        let allowed = permitted(state, allowed, now)?;
+        let candidates: Vec<ServiceCandidate<'_>> = with_room(state, allowed, None, now)?
             .into_iter()
             .map(|known| {
                 let entry = &known.entry;
--- a/crates/clementinepond_entry/src/node/send_permit.rs
+++ b/crates/clementinepond_entry/src/node/send_permit.rs
@@ -5,10 +5,11 @@
 use super::{EntryNode, NodeState, RefusalCause};
 use crate::clock::BootClock;
 use clementinepond_dispatch::directory::KnownEndpoint;
+use clementinepond_dispatch::fleet::Stated;
 use clementinepond_dispatch::load::NameHash;
 use clementinepond_dispatch::peer::{LimitReport, PeerMessage, PermitReply};
 use clementinepond_dispatch::select::{AdapterReadiness, EngineCandidate};
-use clementinepond_dispatch::send_limit::{LimitStatement, PermitVerdict, SendRate};
+use clementinepond_dispatch::send_limit::{PermitVerdict, SendRate};
 use clementinepond_types::{EndpointId, LocalTime, TimeSpan};
 use fnv::FnvHashMap;
 use std::net::SocketAddrV4;
@@ -164,14 +165,14 @@
     pub(crate) fn record_limit(
         &self,
         id: &EndpointId,
-        statement: LimitStatement,
+        statement: Stated<SendRate>,
         sent_at: LocalTime,
     ) {
         let now = BootClock::now();
         let endpoint = NameHash::of(id.as_str());
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
-        if statement == LimitStatement::Unreadable {
+        if statement == Stated::Unreadable {
             log::warn!("event=endpoint_limit_unreadable endpoint={id}");
             return;
         }
--- a/crates/clementinepond_entry/src/peer/socket.rs
+++ b/crates/clementinepond_entry/src/peer/socket.rs
@@ -168,6 +168,10 @@
             let mut state = node.state.borrow_mut();
             state.peers.record_reach(&from, incarnation, is_cut, now);
         }
+        PeerMessage::Rejection { endpoint, most } => {
+            let mut state = node.state.borrow_mut();
+            state.rejections.record_peer_rejection(endpoint, most, now);
+        }
         PeerMessage::SendLimit(report) => node.apply_limit_report(&report),
         PeerMessage::PermitQuery { ticket, limit } => {
             node.answer_permit_query(ticket, &limit, address);
--- a/crates/clementinepond_entry/src/peer/traffic.rs
+++ b/crates/clementinepond_entry/src/peer/traffic.rs
@@ -53,6 +53,7 @@
             | PeerMessage::BlockedDigest { .. }
             | PeerMessage::BlockedSuspects { .. }
             | PeerMessage::Reach { .. }
+            | PeerMessage::Rejection { .. }
             | PeerMessage::SendLimit(_)
             | PeerMessage::PermitQuery { .. }
             | PeerMessage::PermitReply { .. }
