--- a/crates/clementinepond_soak/src/check.rs
+++ b/crates/clementinepond_soak/src/check.rs
@@ -1,9 +1,15 @@
 //! Invariants that must hold for callers and endpoints under every fault.
 
 use crate::callers::CallRecord;
-use crate::deployment::SOFTWARE_VERSIONS;
+use crate::deployment::{SOFTWARE_VERSIONS, STATED_LIMIT};
+use crate::fault::{PlannedFault, SoakFault};
 use clementinepond_platform_standin::{CallOutcome, RunChecker, stream_event};
+use std::time::{Duration, Instant};
 
+/// Window in which calls at an endpoint with a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Time from the first statement of a limit until it must be kept.
+const LIMIT_NOTICE: Duration = Duration::from_secs(3);
 /// Number of events in the stand-ins' streams.
 pub(crate) const STREAM_EVENTS: u32 = 8;
 
@@ -16,6 +22,56 @@
     found
 }
 
+/// Returns a description of each endpoint that got more calls than the limit that it states
+/// allows, in a window that no other fault excuses.
+pub(crate) fn find_limit_excess(
+    checker: &RunChecker,
+    schedule: &[PlannedFault],
+    started: Instant,
+) -> Vec<String> {
+    let allowed = (1.5 * STATED_LIMIT * LIMIT_WINDOW.as_secs_f64() + 5.0) as usize;
+    let excuses = schedule
+        .iter()
+        .filter(|planned| planned.fault.excuses_limits());
+    let excused: Vec<(Duration, Duration)> = excuses
+        .map(|planned| (planned.at, planned.at + planned.length + LIMIT_NOTICE))
+        .collect();
+    let mut found = Vec::new();
+    for planned in schedule {
+        let SoakFault::EndpointLimits(endpoint) = planned.fault else {
+            continue;
+        };
+        let (from, until) = (planned.at + LIMIT_NOTICE, planned.at + planned.length);
+        // Another fault of the endpoint ends the limit early.
+        let is_replaced = schedule.iter().any(|other| {
+            other.fault.endpoint() == Some(endpoint)
+                && other.at + other.length >= planned.at
+                && other.at <= until
+                && other.fault != planned.fault
+        });
+        let arrivals = checker.arrivals_at(&format!("endpoint-{endpoint}"));
+        let times: Vec<Duration> = arrivals
+            .iter()
+            .map(|arrival| arrival.at.saturating_duration_since(started))
+            .filter(|at| (from..until).contains(at))
+            .collect();
+        for &start in &times {
+            let end = (start + LIMIT_WINDOW).min(until);
+            let count = times.iter().filter(|at| (start..end).contains(at)).count();
+            let is_excused = excused
+                .iter()
+                .any(|(from, until)| *from < end && start < *until);
+            if count > allowed && !is_excused && !is_replaced {
+                found.push(format!(
+                    "endpoint-{endpoint} got {count} calls in {LIMIT_WINDOW:?}, allowed {allowed}"
+                ));
+                break;
+            }
+        }
+    }
+    found
+}
+
 fn check_call(checker: &RunChecker, call: &CallRecord) -> Option<String> {
     let attempt = &call.attempt;
     let runs = checker.runs_of(attempt).len();
--- a/crates/clementinepond_soak/src/deployment.rs
+++ b/crates/clementinepond_soak/src/deployment.rs
@@ -5,8 +5,8 @@
 use crate::fault::SoakFault;
 use crate::process::EntryProcess;
 use clementinepond_platform_standin::{
-    EndpointFaults, EndpointOptions, LinkProxy, RunChecker, StandinEndpoint, StandinStore,
-    sample_configuration,
+    EndpointFaults, EndpointOptions, LinkFault, LinkProxy, RunChecker, StandinEndpoint,
+    StandinStore, sample_configuration,
 };
 use rustix::process::Signal;
 use serde_json::Value;
@@ -14,6 +14,8 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+/// Requests a second that an endpoint with a limit takes from all VMs together.
+pub(crate) const STATED_LIMIT: f64 = 2.0;
 /// Number of entry VMs in a run.
 pub(crate) const VMS: usize = 3;
 /// Number of engines in a run; the other endpoints serve no models and follow the
@@ -30,8 +32,8 @@
     store: StandinStore,
     pub(crate) checker: RunChecker,
     endpoints: Vec<StandinEndpoint>,
-    /// Proxies between all VMs and an endpoint, by endpoint.
-    endpoint_links: Vec<LinkProxy>,
+    /// Proxies between a VM and an endpoint, by VM and endpoint.
+    endpoint_links: Vec<Vec<LinkProxy>>,
     /// Proxies between a VM and the store, by VM.
     store_links: Vec<LinkProxy>,
     pub(crate) entries: Vec<EntryProcess>,
@@ -76,13 +78,19 @@
             let endpoint =
                 StandinEndpoint::start(any, options, &deployment.store, &deployment.checker)
                     .await?;
-            let link = LinkProxy::start(endpoint.address()).await?;
-            endpoint.register_at(link.address());
             deployment.endpoints.push(endpoint);
-            deployment.endpoint_links.push(link);
         }
         for index in 0..VMS {
-            let link = LinkProxy::start(deployment.store.address()).await?;
+            let mut links = Vec::new();
+            let mut addresses = Vec::new();
+            for endpoint in &deployment.endpoints {
+                let link = LinkProxy::start(endpoint.address()).await?;
+                addresses.push((endpoint.address(), link.address()));
+                links.push(link);
+            }
+            deployment.endpoint_links.push(links);
+            let view = deployment.store.start_view(addresses).await?;
+            let link = LinkProxy::start(view).await?;
             let name = format!("vm-{index}");
             let entry =
                 EntryProcess::start(name, program.to_owned(), link.address(), folder.clone())?;
@@ -96,7 +104,8 @@
     pub(crate) fn begin(&mut self, fault: SoakFault) {
         match fault {
             SoakFault::StoreLink(vm, fault) => self.store_links[vm].set(Some(fault)),
-            SoakFault::EndpointLink(i, fault) => self.endpoint_links[i].set(Some(fault)),
+            SoakFault::EndpointLink(i, fault) => self.set_endpoint_link(i, Some(fault)),
+            SoakFault::EndpointsCut(vm, fault) => self.set_endpoint_links(vm, Some(fault)),
             SoakFault::Kill(vm) => self.entries[vm].signal(Signal::KILL),
             SoakFault::Terminate(vm) => self.entries[vm].signal(Signal::TERM),
             SoakFault::Pause(vm) => self.entries[vm].signal(Signal::STOP),
@@ -107,6 +116,10 @@
             SoakFault::EndpointLoses(i) => self.inject(i, |faults| faults.lose_answers = true),
             SoakFault::EndpointCrosses(i) => self.inject(i, |faults| faults.cross_answers = true),
             SoakFault::EndpointSilent(i) => self.inject(i, |faults| faults.is_silent = true),
+            SoakFault::EndpointLimits(i) => {
+                self.inject(i, |faults| faults.stated_limit = Some(STATED_LIMIT));
+            }
+            SoakFault::EndpointBrittle(i) => self.inject(i, |faults| faults.brittle = Some(4)),
             SoakFault::Configurations(count) => {
                 for _ in 0..count {
                     self.version += 3;
@@ -121,7 +134,8 @@
     pub(crate) fn end(&mut self, fault: SoakFault) -> Result<(), SoakError> {
         match fault {
             SoakFault::StoreLink(vm, _) => self.store_links[vm].set(None),
-            SoakFault::EndpointLink(i, _) => self.endpoint_links[i].set(None),
+            SoakFault::EndpointLink(i, _) => self.set_endpoint_link(i, None),
+            SoakFault::EndpointsCut(vm, _) => self.set_endpoint_links(vm, None),
             SoakFault::Kill(vm) | SoakFault::Terminate(vm) => {
                 self.entries[vm].signal(Signal::CONT);
                 if self.entries[vm].has_ended() {
@@ -134,6 +148,8 @@
             SoakFault::EndpointBreaks(i)
             | SoakFault::EndpointLoses(i)
             | SoakFault::EndpointCrosses(i)
+            | SoakFault::EndpointLimits(i)
+            | SoakFault::EndpointBrittle(i)
             | SoakFault::EndpointSilent(i) => {
                 self.endpoints[i].set_faults(EndpointFaults::default());
             }
@@ -153,6 +169,18 @@
         Ok(())
     }
 
+    fn set_endpoint_link(&self, endpoint: usize, fault: Option<LinkFault>) {
+        for links in &self.endpoint_links {
+            links[endpoint].set(fault);
+        }
+    }
+
+    fn set_endpoint_links(&self, vm: usize, fault: Option<LinkFault>) {
+        for link in &self.endpoint_links[vm] {
+            link.set(fault);
+        }
+    }
+
     fn inject(&self, endpoint: usize, set: impl FnOnce(&mut EndpointFaults)) {
         let mut faults = EndpointFaults::default();
         set(&mut faults);
--- a/crates/clementinepond_soak/src/fault.rs
+++ b/crates/clementinepond_soak/src/fault.rs
@@ -5,6 +5,10 @@
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
 
+/// Time for which an endpoint states a limit; longer than it takes until the limit must be
+/// kept.
+const LIMIT_LENGTH: Duration = Duration::from_secs(8);
+
 /// Fault that a run injects; numbers are indices of VMs or endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum SoakFault {
@@ -12,6 +16,8 @@
     StoreLink(usize, LinkFault),
     /// The connections from all VMs to an endpoint are faulty.
     EndpointLink(usize, LinkFault),
+    /// The connections from a VM to all endpoints are faulty.
+    EndpointsCut(usize, LinkFault),
     /// A VM gets SIGKILL and is started again.
     Kill(usize),
     /// A VM gets SIGTERM and is started again.
@@ -33,10 +39,42 @@
     /// An endpoint runs requests without answering them, and keeps the connections
     /// open.
     EndpointSilent(usize),
+    /// An endpoint states how many requests a second it takes.
+    EndpointLimits(usize),
+    /// An endpoint falls over if it rejects too many requests in a second.
+    EndpointBrittle(usize),
     /// This many new configurations are written in quick succession.
     Configurations(u64),
 }
 
+impl SoakFault {
+    /// Returns the endpoint whose own faults this one sets; the end of any of them ends all.
+    pub(crate) const fn endpoint(self) -> Option<usize> {
+        match self {
+            Self::EndpointBreaks(endpoint)
+            | Self::EndpointLoses(endpoint)
+            | Self::EndpointCrosses(endpoint)
+            | Self::EndpointSilent(endpoint)
+            | Self::EndpointLimits(endpoint)
+            | Self::EndpointBrittle(endpoint) => Some(endpoint),
+            _ => None,
+        }
+    }
+
+    /// Returns whether the fault excuses VMs that exceed the limit of an endpoint: it stops
+    /// a VM or holds back what is on the way.
+    pub(crate) const fn excuses_limits(self) -> bool {
+        matches!(
+            self,
+            Self::EndpointLink(..)
+                | Self::EndpointsCut(..)
+                | Self::Kill(_)
+                | Self::Terminate(_)
+                | Self::Pause(_)
+        )
+    }
+}
+
 /// Fault with its start, relative to the start of the schedule, and its duration.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PlannedFault {
@@ -55,10 +93,16 @@
 ) -> Vec<PlannedFault> {
     let count = random.random_range(4..10);
     let mut schedule: Vec<PlannedFault> = (0..count)
-        .map(|_| PlannedFault {
-            at: Duration::from_millis(random.random_range(0..fault_window.as_millis() as u64)),
-            length: Duration::from_millis(random.random_range(200..2_500)),
-            fault: draw_fault(random, vms, endpoints),
+        .map(|_| {
+            let at = Duration::from_millis(random.random_range(0..fault_window.as_millis() as u64));
+            let length = Duration::from_millis(random.random_range(200..2_500));
+            let fault = draw_fault(random, vms, endpoints);
+            let is_limit = matches!(fault, SoakFault::EndpointLimits(_));
+            PlannedFault {
+                at,
+                length: if is_limit { LIMIT_LENGTH } else { length },
+                fault,
+            }
         })
         .collect();
     schedule.sort_by_key(|planned| planned.at);
@@ -68,7 +112,7 @@
 fn draw_fault(random: &mut ChaCha8Rng, vms: usize, endpoints: usize) -> SoakFault {
     let vm = random.random_range(0..vms);
     let endpoint = random.random_range(0..endpoints);
-    match random.random_range(0..13) {
+    match random.random_range(0..17) {
         0 => SoakFault::StoreLink(vm, draw_link_fault(random)),
         1 => SoakFault::EndpointLink(endpoint, draw_link_fault(random)),
         2 => SoakFault::Kill(vm),
@@ -81,10 +125,21 @@
         9 => SoakFault::EndpointLoses(endpoint),
         10 => SoakFault::EndpointCrosses(endpoint),
         11 => SoakFault::EndpointSilent(endpoint),
+        12 | 13 => SoakFault::EndpointsCut(vm, draw_cut(random)),
+        14 => SoakFault::EndpointLimits(endpoint),
+        15 => SoakFault::EndpointBrittle(endpoint),
         _ => SoakFault::Configurations(random.random_range(2..8)),
     }
 }
 
+fn draw_cut(random: &mut ChaCha8Rng) -> LinkFault {
+    match random.random_range(0..3) {
+        0 => LinkFault::CutHanging,
+        1 => LinkFault::CutReset,
+        _ => LinkFault::CutRefused,
+    }
+}
+
 fn draw_link_fault(random: &mut ChaCha8Rng) -> LinkFault {
     match random.random_range(0..4) {
         0 => LinkFault::Delay(Duration::from_millis(random.random_range(20..200))),
--- a/crates/clementinepond_soak/src/run.rs
+++ b/crates/clementinepond_soak/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::SoakError;
 use crate::callers::{CallLog, CallRecord, draw_call, run_caller};
-use crate::check::find_violations;
+use crate::check::{find_limit_excess, find_violations};
 use crate::deployment::{ENDPOINTS, SoakDeployment, VMS};
 use crate::fault::{PlannedFault, draw_schedule};
 use clementinepond_platform_standin::{CallOutcome, send_call};
@@ -81,6 +81,7 @@
             tokio::spawn(caller)
         })
         .collect();
+    let started = std::time::Instant::now();
     run_schedule(&mut deployment, &schedule).await?;
     if !serves_within_limit(&entries, options.seed, "end").await {
         violations.push(
@@ -96,6 +97,7 @@
     }
     let calls: Vec<CallRecord> = log.lock().unwrap_or_else(PoisonError::into_inner).clone();
     violations.extend(find_violations(&deployment.checker, &calls));
+    violations.extend(find_limit_excess(&deployment.checker, &schedule, started));
     let is_served = |call: &&CallRecord| matches!(&call.outcome, CallOutcome::Answer { status, .. } if status.is_success());
     Ok(SoakReport {
         seed: options.seed,
