--- a/crates/clementinepond/tests/entry/send_limits.rs
+++ b/crates/clementinepond/tests/entry/send_limits.rs
@@ -208,3 +208,22 @@
         assert_limit_kept(&deployment.checker.arrivals_at(name), 1.0, kept_from);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoint_that_takes_nothing_gets_no_orders() {
+    let deployment = Deployment::start(2).await;
+    for engine in &deployment.engines {
+        state_limit(engine, Some(0.0));
+    }
+    let entries = connected_vms(&deployment, 3).await;
+    let callers = addresses(&entries);
+    call_for(&callers, Duration::from_secs(1), "/batch/x", &[Some("m0")]).await;
+    let told = Instant::now();
+    let models = ["m0/a1", "m0/a2"].map(Some);
+    call_for(&callers, Duration::from_secs(3), "/batch/x", &models).await;
+    for name in ["engines-0", "engines-1"] {
+        let arrivals = deployment.checker.arrivals_at(name);
+        let late: Vec<_> = arrivals.iter().filter(|call| call.at > told).collect();
+        assert!(late.is_empty(), "{late:?}");
+    }
+}
--- a/crates/clementinepond_entry/src/caller/endpoint_search.rs
+++ b/crates/clementinepond_entry/src/caller/endpoint_search.rs
@@ -449,6 +449,8 @@
             RefusalCause::NoAdapter => self.abandon("no_placement_duty", NO_COPY_RETRY_DELAY),
             RefusalCause::NoCopy => self.abandon("no_copy", NO_COPY_RETRY_DELAY),
             RefusalCause::Overloaded(retry_after) => self.abandon("crowded", retry_after),
+            RefusalCause::Limited(retry_after) => self.abandon("endpoints_limited", retry_after),
+            RefusalCause::Full(retry_after) => self.abandon("endpoints_full", retry_after),
         }
     }
 
--- a/crates/clementinepond_entry/src/node/pick.rs
+++ b/crates/clementinepond_entry/src/node/pick.rs
@@ -38,6 +38,11 @@
     NoAdapter,
     /// No endpoint can serve the request in time; holds the delay before a retry.
     Overloaded(TimeSpan),
+    /// All endpoints state limits that leave no room; holds the delay until one may have a
+    /// permit.
+    Limited(TimeSpan),
+    /// All endpoints are brittle and have no free slot; holds the delay before a retry.
+    Full(TimeSpan),
 }
 
 /// Endpoint chosen for a request.
--- a/crates/clementinepond_entry/src/node/rejection.rs
+++ b/crates/clementinepond_entry/src/node/rejection.rs
@@ -69,7 +69,7 @@
     };
     let open: Vec<&KnownEndpoint> = endpoints.into_iter().filter(has_room).collect();
     if open.is_empty() && !is_empty {
-        return Err(RefusalCause::Overloaded(ROOM_RETRY_DELAY));
+        return Err(RefusalCause::Full(ROOM_RETRY_DELAY));
     }
     Ok(open)
 }
--- a/crates/clementinepond_entry/src/node/send_permit.rs
+++ b/crates/clementinepond_entry/src/node/send_permit.rs
@@ -236,9 +236,7 @@
         .filter(|known| held_until(known).is_none())
         .collect();
     match soonest {
-        Some(until) if open.is_empty() && !is_empty => {
-            Err(RefusalCause::Overloaded(now.until(until)))
-        }
+        Some(until) if open.is_empty() && !is_empty => Err(RefusalCause::Limited(now.until(until))),
         _ => Ok(open),
     }
 }
