--- a/crates/clementinepond_entry/src/forward/client.rs
+++ b/crates/clementinepond_entry/src/forward/client.rs
@@ -14,9 +14,9 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
-/// Number of peers that an attempt tries in turn; one more than may be in a data centre that
-/// was just cut off.
-const MAX_FORWARDERS: usize = 2;
+/// Number of peers that an attempt tries in turn, and that are asked for their reach; several
+/// of them may have been cut off with this VM.
+const MAX_FORWARDERS: usize = 3;
 /// Maximum time for opening a connection to a peer.
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(200);
 /// Time by which an answer may come later through a peer, which may have to find out that it
@@ -101,9 +101,25 @@
     Ok(answer)
 }
 
-/// Asks a peer whether it reaches an endpoint; `None` if none answers.
+/// Asks some peers at once whether they reach an endpoint; `None` if none answers.
+///
+/// Peers may be cut off like this VM, so the best verdict counts.
 pub(crate) async fn ask_reach(node: &EntryNode, endpoint: &EndpointId) -> Option<ReachVerdict> {
-    let (_, address) = node.forwarder(&[])?;
+    let mut asked: Vec<VmId> = Vec::new();
+    let mut addresses = [None; MAX_FORWARDERS];
+    for address in &mut addresses {
+        if let Some((vm, peer)) = node.forwarder(&asked) {
+            asked.push(vm);
+            *address = Some(peer);
+        }
+    }
+    let [one, two, three] = addresses.map(|address| ask_peer(address, endpoint));
+    let (one, two, three) = tokio::join!(one, two, three);
+    [one, two, three].into_iter().flatten().min()
+}
+
+async fn ask_peer(address: Option<SocketAddrV4>, endpoint: &EndpointId) -> Option<ReachVerdict> {
+    let address = address?;
     let path = format!("{REACH_PATH}{endpoint}");
     let mut client = HttpClient::new(address);
     let call = client.call(
--- a/crates/clementinepond_entry/src/node/outcome.rs
+++ b/crates/clementinepond_entry/src/node/outcome.rs
@@ -13,8 +13,8 @@
 const SLOWDOWN_RANGE: (f64, f64) = (0.4, 6.0);
 /// Weight of a new measurement in the moving average of an endpoint's service time.
 const SERVICE_TIME_WEIGHT: f64 = 0.1;
-/// Delay after which an ejection for lost connections is reported to the peers; a check of
-/// the endpoint takes less.
+/// Delay after which an ejection for lost or failed connections is reported to the peers; a
+/// VM that is cut off mostly finds out earlier.
 const UNCHECKED_REPORT_DELAY: TimeSpan = TimeSpan::from_millis(600);
 
 impl EntryNode {
@@ -43,9 +43,9 @@
             .map(|known| known.entry.id.clone())
             .collect();
         if state.health.record(id, outcome, &peers, now) {
-            // A lost connection may be a fault of this VM's link, which a check shows.
+            // This VM's link may be at fault, also if the peers asked share the fault.
             let delay = match outcome {
-                EndpointOutcome::Broken => UNCHECKED_REPORT_DELAY,
+                EndpointOutcome::Broken | EndpointOutcome::Unreachable => UNCHECKED_REPORT_DELAY,
                 _ => TimeSpan::ZERO,
             };
             let endpoint = NameHash::of(id.as_str());
--- a/crates/clementinepond_entry/src/node/reach.rs
+++ b/crates/clementinepond_entry/src/node/reach.rs
@@ -16,8 +16,8 @@
 /// Maximum time for a connection that shows whether an endpoint is reached.
 const PROBE_TIMEOUT: TimeSpan = TimeSpan::from_millis(250);
 
-/// Whether an endpoint is reached.
-#[derive(Debug, Display, FromStr, Clone, Copy, PartialEq, Eq)]
+/// Whether an endpoint is reached, best first.
+#[derive(Debug, Display, FromStr, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 #[display(rename_all = "kebab-case")]
 #[from_str(rename_all = "kebab-case")]
 pub(crate) enum ReachVerdict {
@@ -104,7 +104,7 @@
         }
     }
 
-    /// Finds out whether an endpoint is reached; a peer tells a fault of the endpoint from
+    /// Finds out whether an endpoint is reached; peers tell a fault of the endpoint from
     /// one of this VM's link.
     pub(crate) async fn check_endpoint(
         &self,
