--- a/crates/clementinepond_dispatch/src/reach/path_table.rs
+++ b/crates/clementinepond_dispatch/src/reach/path_table.rs
@@ -66,8 +66,12 @@
         PathChange::Cut
     }
 
-    /// Records that neither this VM nor a peer reached an endpoint.
+    /// Records that neither this VM nor a peer reached an endpoint; no evidence against it
+    /// while this VM is cut off.
     pub fn record_down(&mut self, endpoint: NameHash, now: LocalTime) {
+        if self.is_cut {
+            return;
+        }
         self.failed_links.remove(&endpoint);
         self.confirmed_down
             .insert(endpoint, now + CONFIRMED_DOWN_TIME);
--- a/crates/clementinepond_dispatch/tests/reach.rs
+++ b/crates/clementinepond_dispatch/tests/reach.rs
@@ -139,3 +139,14 @@
     table.record_reach(&vm(0), 1, false, at(7));
     assert_eq!(forwarder(&table, &[]), Some(vm(0)));
 }
+
+#[test]
+fn cut_vm_keeps_links_to_probe_when_endpoints_are_reported_down() {
+    let mut table = PathTable::default();
+    table.record_failed_link(endpoint(1), at(0));
+    table.record_failed_link(endpoint(2), at(1));
+    table.record_down(endpoint(1), at(2));
+    table.record_down(endpoint(2), at(3));
+    assert!(table.is_cut());
+    assert!(table.due_probe(at(600)).is_some());
+}
