--- /dev/null
+++ b/review/standins/src/main.rs
@@ -0,0 +1,68 @@
+//! Stand-ins and drivers of the review's cases: `review_standins CASE RECORD`.
+//!
+//! `PROGRAM` names the deploy file's program. Exits with 1 if the rule was broken, 0 if it
+//! held, and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
+
+mod cut;
+mod machine;
+mod one;
+mod record;
+mod runner;
+mod server;
+mod site;
+mod store;
+
+use record::Record;
+use std::path::{Path, PathBuf};
+
+/// What a case found.
+pub enum Verdict {
+    Held,
+    Broken,
+    CouldNotRun(String),
+}
+
+/// Folder for settings and logs of the machines; removed at the end unless `KEEP` is set.
+pub struct Scratch(pub PathBuf);
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        if std::env::var_os("KEEP").is_none() {
+            let _ = std::fs::remove_dir_all(&self.0);
+        }
+    }
+}
+
+#[tokio::main]
+async fn main() {
+    let words: Vec<String> = std::env::args().collect();
+    let [_, case, path] = &words[..] else {
+        eprintln!("usage: review_standins CASE RECORD");
+        std::process::exit(2);
+    };
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = Record::create(Path::new(path)).unwrap();
+    record.say(&format!("case {case} trouble={has_trouble}"));
+    let folder = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let scratch = Scratch(folder);
+    let limit = std::time::Duration::from_secs(110);
+    let verdict = tokio::time::timeout(limit, async {
+        match case.as_str() {
+            "restored-lease" => one::restored_lease(&record, &scratch, has_trouble).await,
+            "cut-successor" => one::cut_successor(&record, &scratch, has_trouble).await,
+            "cut-chunked" => cut::cut_chunked(&record, &scratch, has_trouble).await,
+            _ => Verdict::CouldNotRun("no such case".to_owned()),
+        }
+    })
+    .await
+    .unwrap_or_else(|_| Verdict::CouldNotRun("time ran out".to_owned()));
+    let (status, text) = match verdict {
+        Verdict::Held => (0, "the rule held".to_owned()),
+        Verdict::Broken => (1, "THE RULE WAS BROKEN".to_owned()),
+        Verdict::CouldNotRun(why) => (2, format!("the case could not run: {why}")),
+    };
+    record.say(&format!("exit {status}: {text}"));
+    drop(scratch);
+    std::process::exit(status);
+}
