--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 //! held, and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod cut;
+mod drain;
 mod machine;
 mod one;
 mod record;
@@ -52,6 +53,7 @@
             "restored-lease" => one::restored_lease(&record, &scratch, has_trouble).await,
             "cut-successor" => one::cut_successor(&record, &scratch, has_trouble).await,
             "cut-chunked" => cut::cut_chunked(&record, &scratch, has_trouble).await,
+            "foreign-entry" => drain::foreign_entry(&record, &scratch, has_trouble).await,
             _ => Verdict::CouldNotRun("no such case".to_owned()),
         }
     })
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -16,6 +16,9 @@
 
 /// "about 500" items in an answer.
 const PAGE_ITEMS: usize = 500;
+/// Stands for the text that another writer left as its entry.
+pub const FOREIGN: &str = "text of another writer";
+
 /// Usual time of an answer, as the sheets state it.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 
@@ -43,6 +46,8 @@
     is_away: bool,
     /// Factor on the time of an answer.
     slowness: u32,
+    /// JSON text of an entry that another writer has left, as it is shown.
+    foreign: String,
 }
 
 #[derive(Clone)]
@@ -134,6 +139,12 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Writes an entry as another writer does: `text` is any JSON text.
+    pub fn put_foreign(&self, kind: &str, name: &str, text: &str) {
+        self.state.lock().unwrap().foreign = text.to_owned();
+        self.put(kind, name, json!(FOREIGN));
+    }
+
     /// Sets by how much longer an answer takes than usual.
     pub fn set_slowness(&self, slowness: u32) {
         self.state.lock().unwrap().slowness = slowness;
@@ -264,10 +275,18 @@
             _ => json_answer(StatusCode::BAD_REQUEST, &json!({})),
         }
     };
-    let (era, slowness) = {
+    let (era, slowness, foreign) = {
         let state = state.lock().unwrap();
-        (state.era, state.slowness)
+        (state.era, state.slowness, state.foreign.clone())
     };
+    if !foreign.is_empty() {
+        let (parts, body) = response.into_parts();
+        let bytes = body.collect().await.ok()?.to_bytes();
+        let text = String::from_utf8(bytes.to_vec()).ok()?;
+        let text = text.replace(&format!("\"{FOREIGN}\""), &foreign);
+        response = crate::server::answer(parts.status, &[], &text);
+        *response.headers_mut() = parts.headers;
+    }
     tokio::time::sleep(ANSWER_TIME * slowness).await;
     response.headers_mut().insert("store-era", era.into());
     Some(response)
