--- a/review/standins/src/drain.rs
+++ b/review/standins/src/drain.rs
@@ -141,6 +141,39 @@
     }
 }
 
+/// Starts machines while such an entry is there, and records whether they get ready; no case of
+/// its own.
+pub async fn foreign_start(record: &Record, scratch: &Scratch) -> Verdict {
+    let Ok(store) = Store::start(record).await else {
+        return Verdict::CouldNotRun("no store".to_owned());
+    };
+    store.put("config", "main", configuration(3));
+    let work = Duration::from_millis(60);
+    let arrivals = Arrivals::default();
+    let zone = "kyushu-a";
+    let started = Runner::start("i-02d9e6b0", APP, zone, &[], work, &store, &arrivals);
+    let Ok(_runner) = started.await else {
+        return Verdict::CouldNotRun("no runner".to_owned());
+    };
+    store.put_foreign("servers", "i-9b41f0aa", &foreign_text());
+    let start = |index| {
+        let name = format!("edge-kyushu-a-{index}");
+        Machine::start(&name, "kyushu-a", store.address, &scratch.0)
+    };
+    let machines: Vec<Machine> = (1..=3).map(start).collect();
+    for _ in 0..100 {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        for machine in &machines {
+            if machine.is_ready().await {
+                record.say(&format!("{} is ready", machine.name));
+                return Verdict::Held;
+            }
+        }
+    }
+    record.say("no machine is ready 20 s after the start");
+    Verdict::Broken
+}
+
 /// Restarts a machine in order and records whether it gets ready; not part of the verdict.
 async fn restart(machine: &mut Machine, record: &Record) {
     record.say(&format!(
