--- a/review/standins/src/runner.rs
+++ b/review/standins/src/runner.rs
@@ -16,7 +16,7 @@
 use tokio::task::AbortHandle;
 
 /// `heartbeat_ms` of the settings.
-const HEARTBEAT: Duration = Duration::from_millis(1_200);
+pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Time of an adapter load.
 const ADAPTER_LOAD: Duration = Duration::from_millis(8);
 /// Events of a stream and the time before each.
