--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,7 @@
 //! `PROGRAM` names the deploy file's program. Exits with 1 if the rule was broken, 0 if it
 //! held, and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
+mod blocked;
 mod cut;
 mod drain;
 mod machine;
@@ -57,6 +58,7 @@
             "foreign-start" => drain::foreign_start(&record, &scratch).await,
             "cut-chunked" => cut::cut_chunked(&record, &scratch, has_trouble).await,
             "foreign-entry" => drain::foreign_entry(&record, &scratch, has_trouble).await,
+            "shared-parts" => blocked::shared_parts(&record, &scratch, has_trouble).await,
             _ => Verdict::CouldNotRun("no such case".to_owned()),
         }
     });
