--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,7 +1,7 @@
-//! Stand-ins and drivers of the review's cases: `review_standins CASE RECORD`.
+//! Stand-ins and drivers of the review's cases: `review_standins CASE RECORD TROUBLE`.
 //!
 //! `PROGRAM` names the deploy file's program. Exits with 1 if the rule was broken, 0 if it
-//! held, and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
+//! held, and 2 if the case could not run. A TROUBLE of 0 leaves the disruption out.
 
 mod blocked;
 mod cut;
@@ -39,11 +39,11 @@
 #[tokio::main]
 async fn main() {
     let words: Vec<String> = std::env::args().collect();
-    let [_, case, path] = &words[..] else {
-        eprintln!("usage: review_standins CASE RECORD");
+    let [_, case, path, trouble] = &words[..] else {
+        eprintln!("usage: review_standins CASE RECORD TROUBLE");
         std::process::exit(2);
     };
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let has_trouble = trouble != "0";
     let record = Record::create(Path::new(path)).unwrap();
     record.say(&format!("case {case} trouble={has_trouble}"));
     let folder = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -16,15 +16,26 @@
 
 pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
 
-/// Serves requests on a free port; `None` from the handler closes the connection without an
-/// answer. Aborting the task closes all connections.
+/// Serves requests on a free port.
 pub async fn serve<H, F>(handler: H) -> std::io::Result<(SocketAddrV4, AbortHandle)>
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Option<Response<Body>>> + Send + 'static,
 {
-    let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
-    let listener = TcpListener::bind(any).await?;
+    serve_at(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0), handler).await
+}
+
+/// Serves requests at an address; `None` from the handler closes the connection without an
+/// answer. Aborting the task closes all connections.
+pub async fn serve_at<H, F>(
+    address: SocketAddrV4,
+    handler: H,
+) -> std::io::Result<(SocketAddrV4, AbortHandle)>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Option<Response<Body>>> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
     let SocketAddr::V4(bound) = listener.local_addr()? else {
         return Err(std::io::Error::other("not an IPv4 address"));
     };
